--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+LINTER := .bin/golangci-lint
+
+.PHONY: all build test lint fmt demo bench soak clean
+
+all: build
+
+build:
+	go build -o bin/ ./cmd/...
+
+test:
+	./scripts/test
+
+lint: $(LINTER)
+	$(LINTER) fmt --diff ./...
+	$(LINTER) run ./...
+
+fmt: $(LINTER)
+	$(LINTER) fmt ./...
+
+$(LINTER): tools/go.mod tools/go.sum
+	cd tools && go build -o ../$(LINTER) github.com/golangci/golangci-lint/v2/cmd/golangci-lint
+
+demo: build
+	go run ./cmd/demo
+
+bench:
+	go test -run '^$$' -bench . -benchtime 1s ./...
+
+clean:
+	rm -rf bin .bin demo-run
--- /dev/null
+++ b/internal/claim/claim.go
@@ -0,0 +1,154 @@
+// Package claim decides which host may send a non-idempotent request. It is part of the replicated state machine:
+// every replica applies the same commands in the same order.
+package claim
+
+import (
+	"encoding/hex"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Retention is the time for which a claim is kept after the time in its request id.
+const Retention = time.Hour
+
+// maxSkew is how far the time of a request id may lie ahead of the log's time.
+const maxSkew = 5 * time.Minute
+
+// Status is the answer to a claim.
+type Status string
+
+const (
+	// StatusGranted means that the holder, and nobody else, may send the request once.
+	StatusGranted Status = "granted"
+	// StatusHeld means that another holder may have sent the request and no outcome is recorded.
+	StatusHeld Status = "held"
+	// StatusDone means that the outcome is recorded.
+	StatusDone Status = "done"
+	// StatusExpired means that the id is too old, or too far ahead, to be judged.
+	StatusExpired Status = "expired"
+	// StatusReused means that the id was used for other content.
+	StatusReused Status = "reused"
+	// StatusRecorded acknowledges an abandoned claim or a recorded outcome.
+	StatusRecorded Status = "recorded"
+)
+
+// Answer is the recorded answer of an upstream.
+type Answer struct {
+	HTTPStatus  int    `json:"http_status"`
+	ContentType string `json:"content_type,omitempty"`
+	// Body is nil if it was larger than the limit; BodyBytes is its full length.
+	Body      []byte `json:"body,omitempty"`
+	BodyBytes int    `json:"body_bytes"`
+	Upstream  string `json:"upstream"`
+}
+
+// Record is the claim of one request id.
+type Record struct {
+	Fingerprint string  `json:"fingerprint"`
+	Holder      string  `json:"holder"`
+	Answer      *Answer `json:"answer,omitempty"`
+}
+
+// Result is what a command returned.
+type Result struct {
+	Status Status  `json:"status"`
+	Holder string  `json:"holder,omitempty"`
+	Answer *Answer `json:"answer,omitempty"`
+}
+
+// Table holds the claims. It is not safe for concurrent use.
+type Table struct {
+	Records map[string]Record `json:"records"`
+	// NowMs is the log's time in milliseconds since the Unix epoch; it never goes back.
+	NowMs int64 `json:"now_ms"`
+	// PrunedMs is the log's time of the last pruning.
+	PrunedMs int64 `json:"pruned_ms"`
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{Records: map[string]Record{}}
+}
+
+// Claim asks for the right to send the request. The same holder gets the same answer again.
+func (t *Table) Claim(id, fingerprint, holder string, nowMs int64) Result {
+	t.advance(nowMs)
+	at, err := IDTime(id)
+	if err != nil || at < t.NowMs-Retention.Milliseconds() || at > t.NowMs+maxSkew.Milliseconds() {
+		return Result{Status: StatusExpired}
+	}
+	r, ok := t.Records[id]
+	switch {
+	case !ok:
+		t.Records[id] = Record{Fingerprint: fingerprint, Holder: holder}
+		return Result{Status: StatusGranted, Holder: holder}
+	case r.Fingerprint != fingerprint:
+		return Result{Status: StatusReused}
+	case r.Answer != nil:
+		return Result{Status: StatusDone, Holder: r.Holder, Answer: r.Answer}
+	case r.Holder == holder:
+		return Result{Status: StatusGranted, Holder: holder}
+	}
+	return Result{Status: StatusHeld, Holder: r.Holder}
+}
+
+// Abandon gives the claim up. The holder promises that it never sent the request and never will.
+func (t *Table) Abandon(id, holder string) Result {
+	if r, ok := t.Records[id]; ok && r.Holder == holder && r.Answer == nil {
+		delete(t.Records, id)
+	}
+	return Result{Status: StatusRecorded}
+}
+
+// Record stores the answer for resends.
+func (t *Table) Record(id, holder string, a Answer) Result {
+	if r, ok := t.Records[id]; ok && r.Holder == holder && r.Answer == nil {
+		r.Answer = &a
+		t.Records[id] = r
+	}
+	return Result{Status: StatusRecorded}
+}
+
+func (t *Table) advance(nowMs int64) {
+	t.NowMs = max(t.NowMs, nowMs)
+	if t.NowMs-t.PrunedMs < Retention.Milliseconds()/60 {
+		return
+	}
+	t.PrunedMs = t.NowMs
+	for id := range t.Records {
+		if at, err := IDTime(id); err != nil || at < t.NowMs-Retention.Milliseconds() {
+			delete(t.Records, id)
+		}
+	}
+}
+
+// IDTime returns the time of a UUIDv7 in milliseconds since the Unix epoch.
+func IDTime(id string) (int64, error) {
+	if len(id) != 36 || id[8] != '-' || id[13] != '-' || id[18] != '-' || id[23] != '-' || id[14] != '7' {
+		return 0, errors.New("not a UUIDv7")
+	}
+	b, err := hex.DecodeString(strings.ReplaceAll(id, "-", ""))
+	if err != nil || len(b) != 16 || b[8]&0xc0 != 0x80 {
+		return 0, errors.New("not a UUIDv7")
+	}
+	var ms int64
+	for _, x := range b[:6] {
+		ms = ms<<8 | int64(x)
+	}
+	return ms, nil
+}
+
+// NewID returns a UUIDv7 of the given time. random must hold at least 10 bytes.
+func NewID(nowMs int64, random []byte) string {
+	var b [16]byte
+	for i := range 6 {
+		b[i] = byte(nowMs >> (40 - 8*i))
+	}
+	copy(b[6:], random)
+	b[6] = b[6]&0x0f | 0x70
+	b[8] = b[8]&0x3f | 0x80
+	h := hex.EncodeToString(b[:])
+	return h[:8] + "-" + h[8:12] + "-" + h[12:16] + "-" + h[16:20] + "-" + h[20:]
+}
--- /dev/null
+++ b/internal/cmds/cmds.go
@@ -0,0 +1,117 @@
+// Package cmds is the command line of baobabreach.
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"baobabreach/internal/config"
+	"baobabreach/internal/daemon"
+	"baobabreach/internal/errs"
+
+	"github.com/alecthomas/kong"
+	"github.com/go-faster/errors"
+)
+
+// Version is the version of the program; set at the build.
+var Version = "0.1.0-dev"
+
+// Exit statuses of the program.
+const (
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+type cli struct {
+	Serve   serveCmd   `cmd:"" help:"Run a daemon."`
+	Check   checkCmd   `cmd:"" help:"Check a settings file without starting."`
+	Version versionCmd `cmd:"" help:"Print the version."`
+}
+
+// Main runs the command line and returns the exit status.
+func Main(args []string, stdout, stderr io.Writer) int {
+	var c cli
+	exited := -1
+	k, err := kong.New(&c, kong.Name("baobabreach"),
+		kong.Description("A router for upstreams that own keys exclusively."),
+		kong.Writers(stdout, stderr), kong.Exit(func(status int) { exited = status }),
+		kong.BindTo(stdout, (*io.Writer)(nil)),
+	)
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, "baobabreach:", err)
+		return exitUsage
+	}
+	ctx, err := k.Parse(args)
+	if exited >= 0 {
+		return exited
+	}
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, "baobabreach:", err)
+		return exitUsage
+	}
+	if err := ctx.Run(); err != nil {
+		_, _ = fmt.Fprintln(stderr, err)
+		return exitStatus(err)
+	}
+	return 0
+}
+
+func exitStatus(err error) int {
+	var p config.Problems
+	if errors.As(err, &p) {
+		return exitUsage
+	}
+	return exitFailure
+}
+
+type serveCmd struct {
+	Config string `arg:"" type:"path" help:"Settings file."`
+}
+
+// Run runs the daemon until SIGINT or SIGTERM.
+func (c serveCmd) Run() error {
+	cfg, err := config.Load(c.Config)
+	if err != nil {
+		return err
+	}
+	app := daemon.New(cfg)
+	if err := app.Err(); err != nil {
+		return errors.Wrap(err, "wire daemon")
+	}
+	if err := app.Start(context.Background()); err != nil {
+		return errors.Wrap(err, "start daemon")
+	}
+	signal := <-app.Wait()
+	ctx, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
+	defer cancel()
+	if err := app.Stop(ctx); err != nil {
+		return errors.Wrap(err, "stop daemon")
+	}
+	if signal.ExitCode != 0 {
+		os.Exit(signal.ExitCode)
+	}
+	return nil
+}
+
+type checkCmd struct {
+	Config string `arg:"" type:"path" help:"Settings file."`
+}
+
+// Run checks the settings.
+func (c checkCmd) Run(out io.Writer) error {
+	if _, err := config.Load(c.Config); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintln(out, c.Config+": ok")
+	return errs.Wrap(err, "print")
+}
+
+type versionCmd struct{}
+
+// Run prints the version.
+func (versionCmd) Run(out io.Writer) error {
+	_, err := fmt.Fprintln(out, Version)
+	return errs.Wrap(err, "print")
+}
--- /dev/null
+++ b/internal/daemon/control.go
@@ -0,0 +1,158 @@
+package daemon
+
+import (
+	"context"
+	"crypto/subtle"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"baobabreach/internal/node"
+	"baobabreach/internal/owner"
+	"baobabreach/internal/peer"
+	"baobabreach/internal/raft"
+	"baobabreach/internal/state"
+	"baobabreach/pkg/proto"
+
+	"github.com/gorilla/mux"
+)
+
+// control serves the control address: messages between daemons and announcements of upstreams.
+type control struct {
+	// node is nil until the replica has started, and always nil on a host without a replica.
+	node   func() *node.Node
+	leader *peer.LeaderClient
+	clock  func() time.Duration
+	info   func() (replicaInfo, bool)
+	token  string
+}
+
+func (c control) router() http.Handler {
+	m := mux.NewRouter()
+	m.Handle(peer.PathRaft, peer.Handle(peer.MaxRaftBytes, c.raft)).Methods(http.MethodPost)
+	m.Handle(peer.PathReplica, peer.Handle(peer.MaxBodyBytes, c.replica)).Methods(http.MethodPost)
+	m.Handle(peer.PathAnnounce, peer.Handle(peer.MaxBodyBytes, c.announce)).Methods(http.MethodPost)
+	m.Handle(peer.PathRenew, peer.Handle(peer.MaxBodyBytes, c.renew)).Methods(http.MethodPost)
+	m.Handle(peer.PathWatch, peer.Handle(peer.MaxBodyBytes, c.watch)).Methods(http.MethodPost)
+	m.Handle(peer.PathPropose, peer.Handle(peer.MaxBodyBytes, c.propose)).Methods(http.MethodPost)
+	m.NotFoundHandler = notFound()
+	m.MethodNotAllowedHandler = notFound()
+	return requireToken(c.token, m)
+}
+
+func (c control) raft(_ context.Context, ms []raft.Message) (struct{}, error) {
+	n, err := c.replicaNode()
+	if err != nil {
+		return struct{}{}, err
+	}
+	n.Receive(ms)
+	return struct{}{}, nil
+}
+
+func (c control) replica(context.Context, struct{}) (replicaInfo, error) {
+	info, ok := c.info()
+	if !ok {
+		return info, proto.NotRun(proto.CodeNotFound, http.StatusNotFound, "this host keeps no replica")
+	}
+	return info, nil
+}
+
+// announce answers on the leader and passes the announcement on everywhere else.
+func (c control) announce(ctx context.Context, a proto.Announcement) (proto.Grant, error) {
+	received := c.clock()
+	if err := checkAnnouncement(a); err != nil {
+		return proto.Grant{}, err
+	}
+	if n := c.node(); n != nil {
+		g, err := n.Announce(received, a)
+		if err == nil || peer.AsError(err).Code != proto.CodeNotLeader {
+			return g, err
+		}
+	}
+	return peer.ToLeader[proto.Announcement, proto.Grant](ctx, c.leader, peer.PathAnnounce, renewTimeout, a)
+}
+
+func checkAnnouncement(a proto.Announcement) error {
+	bad := func(expected string) error {
+		return proto.NotRun(proto.CodeBadRequest, http.StatusBadRequest, "announcement: expected %s", expected)
+	}
+	_, err := netip.ParseAddrPort(a.Address)
+	switch {
+	case !isName(a.Name):
+		return bad("a name of letters, digits, '-' and '_'")
+	case !isName(a.Service):
+		return bad("a service of letters, digits, '-' and '_'")
+	case !isName(a.DataCentre):
+		return bad("a data_centre of letters, digits, '-' and '_'")
+	case err != nil:
+		return bad("an address such as 10.0.0.1:8080")
+	case a.Slots < 1 || a.Slots > maxSlots:
+		return bad("slots from 1 to 10000")
+	case a.Incarnation == 0:
+		return bad("an incarnation above 0")
+	}
+	return nil
+}
+
+const maxSlots = 10_000
+
+func isName(s string) bool {
+	return s != "" && len(s) <= 64 && strings.Trim(s, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_") == ""
+}
+
+func (c control) renew(_ context.Context, r owner.Renewal) (owner.Lease, error) {
+	received := c.clock()
+	n, err := c.replicaNode()
+	if err != nil {
+		return owner.Lease{}, err
+	}
+	return n.Renew(received, r)
+}
+
+func (c control) watch(ctx context.Context, q watchQuery) (watchAnswer, error) {
+	n, err := c.replicaNode()
+	if err != nil {
+		return watchAnswer{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	v, err := n.Watch(ctx, q.Version)
+	return watchAnswer{Version: v}, err
+}
+
+func (c control) propose(ctx context.Context, cs []state.Command) ([]state.Result, error) {
+	n, err := c.replicaNode()
+	if err != nil {
+		return nil, err
+	}
+	return n.Propose(ctx, cs)
+}
+
+func (c control) replicaNode() (*node.Node, error) {
+	if n := c.node(); n != nil {
+		return n, nil
+	}
+	return nil, proto.NotRun(proto.CodeNotLeader, http.StatusMisdirectedRequest, "this host runs no replica yet")
+}
+
+func notFound() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		peer.WriteError(w, proto.NotRun(proto.CodeNotFound, http.StatusNotFound, "no such path: %s %s", r.Method, r.URL.Path))
+	})
+}
+
+// requireToken refuses requests without the token. An empty token admits everybody.
+func requireToken(token string, next http.Handler) http.Handler {
+	if token == "" {
+		return next
+	}
+	want := []byte("Bearer " + token)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), want) != 1 {
+			peer.WriteError(w, proto.NotRun(proto.CodeUnauthorized, http.StatusUnauthorized, "a valid token is needed"))
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/internal/daemon/listen.go
@@ -0,0 +1,175 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"baobabreach/internal/config"
+	"baobabreach/internal/entry"
+	"baobabreach/internal/errs"
+	"baobabreach/internal/logs"
+	"baobabreach/internal/metric"
+	"baobabreach/internal/peer"
+	"baobabreach/internal/route"
+	"baobabreach/pkg/proto"
+
+	"github.com/go-faster/errors"
+
+	"github.com/gorilla/mux"
+	"go.uber.org/fx"
+)
+
+// readHeaderTimeout ends connections that send their headers too slowly.
+const readHeaderTimeout = 5 * time.Second
+
+// stopper turns readiness off ahead of a stop.
+type stopper struct {
+	stopping atomic.Bool
+}
+
+func newStopper() *stopper { return &stopper{} }
+
+type listenerParams struct {
+	fx.In
+
+	Config  config.Config
+	Stopper *stopper
+	Entry   *entry.Server
+	Replica *replica
+	Leader  *peer.LeaderClient
+	View    *route.View
+	Metrics *metric.Registry
+	Clock   Clock
+	Tokens  tokens
+}
+
+// servers are the HTTP servers of the three addresses.
+type servers struct {
+	callers  *http.Server
+	control  *http.Server
+	operator *http.Server
+}
+
+func newServers(p listenerParams) servers {
+	return servers{
+		callers:  newServer(callerRouter(p), p.Config.MaxHeaderBytes),
+		control:  newServer(controlRouter(p), p.Config.MaxHeaderBytes),
+		operator: newServer(operatorRouter(p), p.Config.MaxHeaderBytes),
+	}
+}
+
+// startListeners opens the three addresses.
+func startListeners(lc fx.Lifecycle, cfg config.Config, s servers, root *slog.Logger) {
+	log := logs.Part(root, "listen")
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			for _, x := range []struct {
+				name, address string
+				server        *http.Server
+			}{
+				{"control", cfg.Control, s.control},
+				{"operator", cfg.Operator, s.operator},
+				{"caller", cfg.Caller, s.callers},
+			} {
+				l, err := net.Listen("tcp", x.address)
+				if err != nil {
+					return errors.Wrapf(err, "listen for %s", x.name)
+				}
+				log.Info("listening", "part", x.name, "address", x.address)
+				go func() { _ = x.server.Serve(l) }()
+			}
+			return nil
+		},
+		OnStop: func(ctx context.Context) error {
+			// The long polls of the control address would delay a graceful stop for nothing.
+			return errs.Wrap(firstError(s.operator.Shutdown(ctx), s.control.Close()), "close listeners")
+		},
+	})
+}
+
+// startDrain registers the graceful stop. It is invoked last, so that it runs before leases and replica stop:
+// requests in flight still need them while they end.
+func startDrain(lc fx.Lifecycle, cfg config.Config, s servers, st *stopper, root *slog.Logger) {
+	log := logs.Part(root, "stop")
+	lc.Append(fx.Hook{OnStop: func(ctx context.Context) error {
+		st.stopping.Store(true)
+		log.Info("readiness is off", "balancer_delay", cfg.BalancerDelay)
+		select {
+		case <-time.After(cfg.BalancerDelay):
+		case <-ctx.Done():
+		}
+		ctx, cancel := context.WithTimeout(ctx, cfg.StopTimeout)
+		defer cancel()
+		return errs.Wrap(s.callers.Shutdown(ctx), "finish requests in flight")
+	}})
+}
+
+func firstError(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func newServer(h http.Handler, maxHeaderBytes int64) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: int(maxHeaderBytes)}
+}
+
+func callerRouter(p listenerParams) http.Handler {
+	m := mux.NewRouter()
+	m.SkipClean(true)
+	m.Handle("/s/{service}", p.Entry)
+	m.Handle("/s/{service}/{path:.*}", p.Entry)
+	m.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) {
+		peer.WriteJSON(w, http.StatusOK, health{Status: "ok"})
+	})
+	m.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		writeReadiness(w, p)
+	})
+	m.NotFoundHandler = notFound()
+	return m
+}
+
+// health is the body of the health and readiness paths.
+type health struct {
+	Status string `json:"status"`
+}
+
+func writeReadiness(w http.ResponseWriter, p listenerParams) {
+	t, _ := p.View.Table()
+	switch {
+	case p.Stopper.stopping.Load():
+		peer.WriteError(w, proto.NotRun(proto.CodeStopping, http.StatusServiceUnavailable, "the host is stopping"))
+	case len(t.Services) == 0:
+		peer.WriteError(w, proto.NotRun(proto.CodeNoLease, http.StatusServiceUnavailable, "no routing table yet"))
+	default:
+		peer.WriteJSON(w, http.StatusOK, health{Status: "ready"})
+	}
+}
+
+func controlRouter(p listenerParams) http.Handler {
+	return control{
+		node: p.Replica.node.Load, leader: p.Leader, clock: p.Clock, token: p.Tokens.control,
+		info: func() (replicaInfo, bool) {
+			if i := p.Replica.info.Load(); i != nil {
+				return *i, true
+			}
+			return replicaInfo{}, false
+		},
+	}.router()
+}
+
+func operatorRouter(p listenerParams) http.Handler {
+	m := mux.NewRouter()
+	m.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
+		peer.WriteJSON(w, http.StatusOK, p.Metrics.All())
+	}).Methods(http.MethodGet)
+	m.NotFoundHandler = notFound()
+	return requireToken(p.Tokens.operator, m)
+}
--- /dev/null
+++ b/internal/entry/forward.go
@@ -0,0 +1,184 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"baobabreach/internal/model"
+	"baobabreach/internal/route"
+	"baobabreach/pkg/proto"
+
+	"github.com/go-faster/errors"
+)
+
+// hopHeaders are not passed on in either direction.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Content-Length", "Authorization",
+	// net/http resends a request with one of these headers by itself after a connection error.
+	"Idempotency-Key", "X-Idempotency-Key",
+}
+
+// attempt waits for a target and a slot and forwards the request once.
+func (s *Server) attempt(ctx context.Context, q *Request) (*Answer, *proto.Error) {
+	if q.Service.Keyed {
+		return s.attemptKeyed(ctx, q)
+	}
+	table, _ := s.cfg.View.Table()
+	us := table.Candidates(q.Service.Name)
+	if len(us) == 0 {
+		return nil, proto.NotRun(proto.CodeNoUpstream, http.StatusServiceUnavailable, "service %s has no upstream", q.Service.Name)
+	}
+	return s.forwardTo(ctx, q, us, route.Target{}, nil)
+}
+
+func (s *Server) attemptKeyed(ctx context.Context, q *Request) (*Answer, *proto.Error) {
+	for {
+		table, changed := s.cfg.View.Table()
+		if !s.cfg.View.Leased(s.cfg.Clock()) {
+			return nil, proto.NotRun(proto.CodeNoLease, http.StatusServiceUnavailable, "host %s holds no routing lease", s.cfg.Host)
+		}
+		t := table.Owner(q.Service.Name, q.Key)
+		if t.Moving {
+			if err := waitFor(ctx, changed); err != nil {
+				return nil, err
+			}
+			continue
+		}
+		done, ok := s.cfg.View.Use(table.Version)
+		if !ok {
+			continue
+		}
+		a, err := s.forwardTo(ctx, q, []model.Upstream{t.Upstream}, t, func() bool {
+			return s.cfg.View.Leased(s.cfg.Clock())
+		})
+		done()
+		return a, err
+	}
+}
+
+func waitFor(ctx context.Context, changed <-chan struct{}) *proto.Error {
+	select {
+	case <-changed:
+		return nil
+	case <-ctx.Done():
+		return proto.NotRun(proto.CodeDeadline, http.StatusServiceUnavailable, "the key had no owner before the deadline")
+	}
+}
+
+// forwardTo takes a slot and sends the request. mayForward is checked right before the send.
+func (s *Server) forwardTo(
+	ctx context.Context, q *Request, us []model.Upstream, t route.Target, mayForward func() bool,
+) (*Answer, *proto.Error) {
+	u, release, err := s.cfg.Slots(ctx, Ticket{Request: q, Upstreams: us})
+	if err != nil {
+		return nil, err
+	}
+	start := s.cfg.Clock()
+	if mayForward != nil && !mayForward() {
+		release(Result{Outcome: proto.OutcomeNotRun})
+		return nil, proto.NotRun(proto.CodeNoLease, http.StatusServiceUnavailable,
+			"the routing lease ended while the request waited")
+	}
+	a, err := s.send(ctx, q, u, t.Assignment)
+	r := Result{Outcome: proto.OutcomeDone, Elapsed: s.cfg.Clock() - start}
+	if err != nil {
+		r.Outcome, r.Shed = err.Outcome, err.Code == proto.CodeOverloaded
+	}
+	release(r)
+	return a, err
+}
+
+// send forwards the request once and reads the whole answer.
+func (s *Server) send(ctx context.Context, q *Request, u model.Upstream, a model.Assignment) (*Answer, *proto.Error) {
+	var wrote atomic.Bool
+	trace := &httptrace.ClientTrace{
+		WroteHeaderField: func(string, []string) { wrote.Store(true) },
+	}
+	req, err := newUpstreamRequest(httptrace.WithClientTrace(ctx, trace), q, u, a, s.cfg.Host)
+	if err != nil {
+		return nil, proto.NotRun(proto.CodeInternal, http.StatusInternalServerError, "make request: %v", err)
+	}
+	resp, err := s.cfg.Client.Do(req)
+	if err != nil {
+		if !wrote.Load() {
+			return nil, proto.NotRun(proto.CodeUpstreamFailed, http.StatusBadGateway, "upstream %s can't be reached: %v", u.Name, err)
+		}
+		return nil, proto.Unknown(proto.CodeUpstreamFailed, "upstream %s failed: %v", u.Name, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, s.cfg.MaxAnswerBytes+1))
+	if err != nil {
+		return nil, proto.Unknown(proto.CodeTruncatedAnswer, "the answer of upstream %s is truncated: %v", u.Name, err)
+	}
+	return s.classify(q, u, resp, body)
+}
+
+// classify turns a whole answer of an upstream into an outcome.
+func (s *Server) classify(q *Request, u model.Upstream, resp *http.Response, body []byte) (*Answer, *proto.Error) {
+	if int64(len(body)) > s.cfg.MaxAnswerBytes {
+		return nil, proto.Unknown(proto.CodeTooLarge, "the answer of upstream %s is larger than %d bytes",
+			u.Name, s.cfg.MaxAnswerBytes)
+	}
+	if id := resp.Header.Get(proto.HeaderRequestID); id != q.ID {
+		return nil, proto.Unknown(proto.CodeCrossedAnswer, "upstream %s answered request %q", u.Name, id)
+	}
+	if proto.Outcome(resp.Header.Get(proto.HeaderOutcome)) == proto.OutcomeNotRun {
+		return nil, refusedBy(u, resp.StatusCode, body)
+	}
+	if resp.StatusCode >= http.StatusInternalServerError {
+		return nil, proto.Unknown(proto.CodeUpstreamFailed, "upstream %s answered status %d", u.Name, resp.StatusCode)
+	}
+	return &Answer{
+		Status: resp.StatusCode, Header: passedOn(resp.Header), Body: body, Upstream: u.Name, Outcome: proto.OutcomeDone,
+	}, nil
+}
+
+// refusedBy keeps the upstream's own reason for not running a request.
+func refusedBy(u model.Upstream, status int, body []byte) *proto.Error {
+	var e proto.Error
+	if err := json.Unmarshal(body, &e); err != nil || e.Code == "" {
+		e.Code = proto.CodeOverloaded
+	}
+	return proto.NotRun(e.Code, status, "upstream %s did not run the request: %s", u.Name, e.Message).
+		WithRetryAfterMs(e.RetryAfterMs)
+}
+
+func newUpstreamRequest(
+	ctx context.Context, q *Request, u model.Upstream, a model.Assignment, host string,
+) (*http.Request, error) {
+	target := url.URL{Scheme: "http", Host: u.Address, Path: q.Path, RawQuery: q.Query}
+	req, err := http.NewRequestWithContext(ctx, q.Method, target.String(), bytes.NewReader(q.Body))
+	if err != nil {
+		return nil, errors.Wrap(err, "new request")
+	}
+	// Without GetBody the transport never sends the request a second time by itself.
+	req.GetBody = nil
+	req.Header = passedOn(q.Header)
+	req.Header.Set(proto.HeaderRequestID, q.ID)
+	req.Header.Set(proto.HeaderHost, host)
+	if d, ok := ctx.Deadline(); ok {
+		req.Header.Set(proto.HeaderDeadlineMs, strconv.FormatInt(max(1, time.Until(d).Milliseconds()), 10))
+	}
+	if q.Service.Keyed {
+		req.Header.Set(proto.HeaderRange, strconv.FormatUint(a.ID, 10))
+		req.Header.Set(proto.HeaderEpoch, strconv.FormatUint(a.Epoch, 10))
+	}
+	return req, nil
+}
+
+func passedOn(h http.Header) http.Header {
+	c := h.Clone()
+	for _, k := range hopHeaders {
+		c.Del(k)
+	}
+	return c
+}
--- /dev/null
+++ b/internal/entry/request.go
@@ -0,0 +1,150 @@
+// Package entry serves callers: it checks a request, claims it if it must run at most once, waits for a slot,
+// forwards it to an upstream and answers with its outcome.
+package entry
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"baobabreach/internal/claim"
+	"baobabreach/internal/model"
+	"baobabreach/pkg/proto"
+
+	"github.com/go-faster/errors"
+	"github.com/gorilla/mux"
+)
+
+const (
+	maxKeyBytes    = 512
+	maxTenantBytes = 64
+	maxDeadline    = 24 * time.Hour
+	defaultTenant  = "none"
+)
+
+// Request is a checked request of a caller.
+type Request struct {
+	ID      string
+	Method  string
+	Path    string
+	Query   string
+	Header  http.Header
+	Body    []byte
+	Service model.Service
+	// Key is empty for a service not divided by key.
+	Key    string
+	Tenant string
+	Class  model.Class
+	// Deadline is the time left for the request at its arrival; positive.
+	Deadline   time.Duration
+	Idempotent bool
+	// Fingerprint identifies the content: service, key, method, path and body.
+	Fingerprint string
+}
+
+// parse checks the request. Errors are of type *proto.Error with outcome not_run.
+func (s *Server) parse(w http.ResponseWriter, r *http.Request) (Request, *proto.Error) {
+	id, err := requestID(r)
+	if err != nil {
+		return Request{}, err
+	}
+	table, _ := s.cfg.View.Table()
+	name := mux.Vars(r)["service"]
+	service, ok := table.Services[name]
+	if !ok {
+		return Request{ID: id}, proto.NotRun(proto.CodeUnknownService, http.StatusNotFound, "service %q is not known", name)
+	}
+	q := Request{
+		ID: id, Method: r.Method, Path: "/" + mux.Vars(r)["path"], Query: r.URL.RawQuery, Header: r.Header,
+		Service: service, Tenant: defaultTenant, Class: service.Class, Deadline: ms(service.DeadlineMs),
+	}
+	if err := q.readHeaders(r.Header); err != nil {
+		return q, err
+	}
+	body, readErr := io.ReadAll(http.MaxBytesReader(w, r.Body, s.cfg.MaxBodyBytes))
+	if readErr != nil {
+		return q, bodyError(readErr, s.cfg.MaxBodyBytes)
+	}
+	q.Body = body
+	q.Idempotent = service.Idempotent || isIdempotent(r.Method)
+	q.Fingerprint = q.fingerprint()
+	return q, nil
+}
+
+func requestID(r *http.Request) (string, *proto.Error) {
+	id := r.Header.Get(proto.HeaderRequestID)
+	if id == "" {
+		var b [10]byte
+		_, _ = rand.Read(b[:])
+		return claim.NewID(time.Now().UnixMilli(), b[:]), nil
+	}
+	if _, err := claim.IDTime(id); err != nil {
+		return "", proto.NotRun(proto.CodeBadRequestID, http.StatusBadRequest, "%s must be a UUIDv7", proto.HeaderRequestID)
+	}
+	return id, nil
+}
+
+func (q *Request) readHeaders(h http.Header) *proto.Error {
+	q.Key = h.Get(proto.HeaderKey)
+	if q.Service.Keyed && q.Key == "" {
+		return proto.NotRun(proto.CodeMissingKey, http.StatusBadRequest,
+			"service %s needs the header %s", q.Service.Name, proto.HeaderKey)
+	}
+	if len(q.Key) > maxKeyBytes {
+		return proto.NotRun(proto.CodeBadRequest, http.StatusBadRequest,
+			"%s is longer than %d bytes", proto.HeaderKey, maxKeyBytes)
+	}
+	if v := h.Get(proto.HeaderTenant); v != "" {
+		q.Tenant = v
+	}
+	if len(q.Tenant) > maxTenantBytes {
+		return proto.NotRun(proto.CodeBadRequest, http.StatusBadRequest,
+			"%s is longer than %d bytes", proto.HeaderTenant, maxTenantBytes)
+	}
+	if v := h.Get(proto.HeaderClass); v != "" {
+		q.Class = model.Class(v)
+	}
+	if q.Class != model.ClassShort && q.Class != model.ClassLong {
+		return proto.NotRun(proto.CodeBadRequest, http.StatusBadRequest, "%s must be short or long", proto.HeaderClass)
+	}
+	if v := h.Get(proto.HeaderDeadlineMs); v != "" {
+		n, err := strconv.ParseInt(v, 10, 64)
+		if err != nil || n <= 0 || ms(n) > maxDeadline {
+			return proto.NotRun(proto.CodeBadRequest, http.StatusBadRequest,
+				"%s must be a whole number of milliseconds from 1 to %d", proto.HeaderDeadlineMs, maxDeadline.Milliseconds())
+		}
+		q.Deadline = ms(n)
+	}
+	return nil
+}
+
+func bodyError(err error, limit int64) *proto.Error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return proto.NotRun(proto.CodeTooLarge, http.StatusRequestEntityTooLarge, "body is larger than %d bytes", limit)
+	}
+	return proto.NotRun(proto.CodeBadRequest, http.StatusBadRequest, "body can't be read: %v", err)
+}
+
+func isIdempotent(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodPut, http.MethodDelete, http.MethodOptions:
+		return true
+	}
+	return false
+}
+
+func (q *Request) fingerprint() string {
+	h := sha256.New()
+	for _, s := range []string{q.Service.Name, q.Key, q.Method, q.Path, q.Query} {
+		_, _ = io.WriteString(h, strconv.Itoa(len(s))+":"+s)
+	}
+	_, _ = h.Write(q.Body)
+	return hex.EncodeToString(h.Sum(nil)[:16])
+}
+
+func ms(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- /dev/null
+++ b/internal/metric/metric.go
@@ -0,0 +1,53 @@
+// Package metric keeps the daemon's counters and latency histograms.
+package metric
+
+import (
+	"time"
+
+	"baobabreach/internal/model"
+	"baobabreach/pkg/proto"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+const (
+	sampleSize  = 1028
+	sampleAlpha = 0.015
+)
+
+// Registry holds the metrics of one daemon. It is safe for concurrent use.
+type Registry struct {
+	r metrics.Registry
+}
+
+// New returns an empty registry.
+func New() *Registry {
+	return &Registry{r: metrics.NewRegistry()}
+}
+
+// Observe records one answered request in the histogram of its tenant and class, in microseconds.
+func (r *Registry) Observe(tenant string, class model.Class, outcome proto.Outcome, d time.Duration) {
+	name := "latency_us." + tenant + "." + string(class)
+	h := r.r.GetOrRegister(name, newHistogram).(metrics.Histogram)
+	h.Update(d.Microseconds())
+	r.Count("requests." + tenant + "." + string(class) + "." + string(outcome))
+}
+
+// Count adds one to the named counter.
+func (r *Registry) Count(name string) {
+	metrics.GetOrRegisterCounter(name, r.r).Inc(1)
+}
+
+// Gauge sets the named gauge.
+func (r *Registry) Gauge(name string, v int64) {
+	metrics.GetOrRegisterGauge(name, r.r).Update(v)
+}
+
+// All returns every metric in the form of go-metrics' JSON export.
+func (r *Registry) All() map[string]map[string]any {
+	return r.r.GetAll()
+}
+
+func newHistogram() metrics.Histogram {
+	return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+}
--- /dev/null
+++ b/internal/model/model.go
@@ -0,0 +1,291 @@
+// Package model holds the immutable replicated state: services, upstreams, assignments and limits.
+// A value is never changed after it was shared; With methods return changed copies.
+package model
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"sort"
+
+	"baobabreach/pkg/proto"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// OnCut is the rule for a keyed service whose owner can't be reached.
+type OnCut string
+
+const (
+	// OnCutMajority lets the majority take ranges over after the grant has expired.
+	OnCutMajority OnCut = "majority"
+	// OnCutHome leaves ranges with their holder until it gives them back or an operator confirms its loss.
+	OnCutHome OnCut = "home"
+)
+
+// Class orders work by urgency.
+type Class string
+
+const (
+	// ClassShort is interactive work that must not wait behind long work.
+	ClassShort Class = "short"
+	// ClassLong is background work that may wait until its deadline.
+	ClassLong Class = "long"
+)
+
+// DefaultRanges is the number of ranges a keyed service starts with.
+const DefaultRanges = 64
+
+// Service describes one service. Names are unique.
+type Service struct {
+	Name  string `json:"name"`
+	Keyed bool   `json:"keyed"`
+	// Idempotent makes every method of the service safe to repeat.
+	Idempotent bool  `json:"idempotent"`
+	Class      Class `json:"class"`
+	OnCut      OnCut `json:"on_cut"`
+	// Ranges is the initial number of ranges; at least 1 for a keyed service.
+	Ranges int `json:"ranges"`
+	// DeadlineMs is the default deadline of a request; positive.
+	DeadlineMs int64 `json:"deadline_ms"`
+}
+
+// Upstream is a registered upstream. The pair of Name and Incarnation identifies one process.
+type Upstream struct {
+	Name         string `json:"name"`
+	Incarnation  uint64 `json:"incarnation"`
+	Address      string `json:"address"`
+	DataCentre   string `json:"data_centre"`
+	Service      string `json:"service"`
+	Slots        int    `json:"slots"`
+	ChecksGrants bool   `json:"checks_grants"`
+}
+
+// Phase is the step of an assignment.
+type Phase string
+
+const (
+	// PhaseFree means that nobody owns the range.
+	PhaseFree Phase = "free"
+	// PhaseHeld means that Owner may hold a grant for Epoch.
+	PhaseHeld Phase = "held"
+	// PhaseReleasing means that Owner must give the range back before anybody else gets it.
+	PhaseReleasing Phase = "releasing"
+)
+
+// Assignment is a range of key hashes with its owner.
+type Assignment struct {
+	ID      uint64 `json:"id"`
+	Service string `json:"service"`
+	// First and Last bound the hashes, both inclusive. Ranges of a service are disjoint and cover all hashes.
+	First uint64 `json:"first"`
+	Last  uint64 `json:"last"`
+	// Epoch grows with every assignment; 0 for a range that never had an owner.
+	Epoch uint64 `json:"epoch"`
+	// Owner and Incarnation are empty in PhaseFree only.
+	Owner       string `json:"owner,omitempty"`
+	Incarnation uint64 `json:"incarnation,omitempty"`
+	Phase       Phase  `json:"phase"`
+}
+
+// Fence returns the fencing token of the assignment.
+func (a Assignment) Fence() proto.Fence {
+	return proto.Fence{Range: a.ID, Epoch: a.Epoch}
+}
+
+// OwnedBy tells whether u is the owner, releasing or not.
+func (a Assignment) OwnedBy(u Upstream) bool {
+	return a.Phase != PhaseFree && a.Owner == u.Name && a.Incarnation == u.Incarnation
+}
+
+// Limit bounds the request rate of one tenant in one class over all hosts.
+type Limit struct {
+	Tenant string `json:"tenant"`
+	Class  Class  `json:"class"`
+	// PerSecond is positive; an absent limit means unlimited.
+	PerSecond float64 `json:"per_second"`
+}
+
+// State is the replicated state without claims. The zero value is not usable; call NewState.
+type State struct {
+	// Version grows with every change that entry hosts must learn.
+	Version uint64 `json:"version"`
+	// Revision grows with every accepted intent.
+	Revision  uint64              `json:"revision"`
+	Services  map[string]Service  `json:"services"`
+	Upstreams map[string]Upstream `json:"upstreams"`
+	// Ranges is sorted by service and first hash.
+	Ranges      []Assignment     `json:"ranges"`
+	Drained     map[string]bool  `json:"drained"`
+	StoppedDCs  map[string]bool  `json:"stopped_dcs"`
+	Limits      map[string]Limit `json:"limits"`
+	NextRangeID uint64           `json:"next_range_id"`
+	NextEpoch   uint64           `json:"next_epoch"`
+}
+
+// NewState returns an empty state.
+func NewState() *State {
+	return &State{
+		Services: map[string]Service{}, Upstreams: map[string]Upstream{}, Drained: map[string]bool{},
+		StoppedDCs: map[string]bool{}, Limits: map[string]Limit{}, NextRangeID: 1, NextEpoch: 1,
+	}
+}
+
+// HashKey returns the position of a key in the hash space of its service.
+func HashKey(service, key string) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(service)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(key)
+	return d.Sum64()
+}
+
+// Find returns the index in Ranges of the range that holds hash, or false.
+func (s *State) Find(service string, hash uint64) (int, bool) {
+	i := sort.Search(len(s.Ranges), func(i int) bool {
+		r := s.Ranges[i]
+		return r.Service > service || (r.Service == service && r.Last >= hash)
+	})
+	if i == len(s.Ranges) || s.Ranges[i].Service != service || s.Ranges[i].First > hash {
+		return 0, false
+	}
+	return i, true
+}
+
+// RangeByID returns the index of a range, or false.
+func (s *State) RangeByID(id uint64) (int, bool) {
+	i := slices.IndexFunc(s.Ranges, func(a Assignment) bool { return a.ID == id })
+	return i, i >= 0
+}
+
+// WithService returns a copy with the service added or replaced. A service that becomes keyed gets its ranges.
+func (s *State) WithService(v Service) *State {
+	c := *s
+	c.Services = maps.Clone(s.Services)
+	c.Services[v.Name] = v
+	hasRanges := slices.ContainsFunc(s.Ranges, func(a Assignment) bool { return a.Service == v.Name })
+	if v.Keyed && !hasRanges {
+		c.Ranges = slices.Concat(s.Ranges, splitSpace(v, s.NextRangeID))
+		c.NextRangeID += uint64(v.Ranges)
+		c.sortRanges()
+	}
+	return &c
+}
+
+// WithUpstream returns a copy with the upstream registered.
+func (s *State) WithUpstream(u Upstream) *State {
+	c := *s
+	c.Upstreams = maps.Clone(s.Upstreams)
+	c.Upstreams[u.Name] = u
+	return &c
+}
+
+// WithoutUpstream returns a copy without the upstream; its ranges become free.
+func (s *State) WithoutUpstream(name string) *State {
+	c := *s
+	c.Upstreams = maps.Clone(s.Upstreams)
+	delete(c.Upstreams, name)
+	c.Ranges = slices.Clone(s.Ranges)
+	for i := range c.Ranges {
+		if c.Ranges[i].Owner == name {
+			c.Ranges[i] = c.Ranges[i].free()
+		}
+	}
+	return &c
+}
+
+// WithRange returns a copy in which the range with a.ID is a.
+func (s *State) WithRange(a Assignment) *State {
+	i, ok := s.RangeByID(a.ID)
+	if !ok {
+		return s
+	}
+	c := *s
+	c.Ranges = slices.Clone(s.Ranges)
+	c.Ranges[i] = a
+	return &c
+}
+
+// WithVersion returns a copy with the given table version.
+func (s *State) WithVersion(v uint64) *State {
+	c := *s
+	c.Version = v
+	return &c
+}
+
+// WithRevision returns a copy with the given settings revision.
+func (s *State) WithRevision(r uint64) *State {
+	c := *s
+	c.Revision = r
+	return &c
+}
+
+// WithDrained returns a copy in which the upstream is or is not drained by an operator.
+func (s *State) WithDrained(name string, drained bool) *State {
+	c := *s
+	c.Drained = withFlag(s.Drained, name, drained)
+	return &c
+}
+
+// WithStoppedDC returns a copy in which the data centre is or is not stopped by an operator.
+func (s *State) WithStoppedDC(name string, stopped bool) *State {
+	c := *s
+	c.StoppedDCs = withFlag(s.StoppedDCs, name, stopped)
+	return &c
+}
+
+// WithLimit returns a copy with the limit set, or removed if its rate is not positive.
+func (s *State) WithLimit(l Limit) *State {
+	c := *s
+	c.Limits = maps.Clone(s.Limits)
+	if l.PerSecond > 0 {
+		c.Limits[l.Key()] = l
+	} else {
+		delete(c.Limits, l.Key())
+	}
+	return &c
+}
+
+// Key identifies a limit by tenant and class.
+func (l Limit) Key() string {
+	return l.Tenant + "/" + string(l.Class)
+}
+
+func (a Assignment) free() Assignment {
+	a.Owner, a.Incarnation, a.Phase = "", 0, PhaseFree
+	return a
+}
+
+func withFlag(m map[string]bool, name string, on bool) map[string]bool {
+	c := maps.Clone(m)
+	if on {
+		c[name] = true
+	} else {
+		delete(c, name)
+	}
+	return c
+}
+
+func (s *State) sortRanges() {
+	sort.Slice(s.Ranges, func(i, j int) bool {
+		a, b := s.Ranges[i], s.Ranges[j]
+		return a.Service < b.Service || (a.Service == b.Service && a.First < b.First)
+	})
+}
+
+func splitSpace(v Service, firstID uint64) []Assignment {
+	n := uint64(v.Ranges)
+	width := math.MaxUint64/n + 1
+	if n == 1 {
+		width = 0
+	}
+	out := make([]Assignment, 0, n)
+	for i := range n {
+		a := Assignment{ID: firstID + i, Service: v.Name, First: i * width, Last: (i+1)*width - 1, Phase: PhaseFree}
+		if i == n-1 {
+			a.Last = math.MaxUint64
+		}
+		out = append(out, a)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/node/calls.go
@@ -0,0 +1,94 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"baobabreach/internal/model"
+	"baobabreach/internal/owner"
+	"baobabreach/internal/raft"
+	"baobabreach/internal/state"
+	"baobabreach/pkg/proto"
+)
+
+// Receive queues messages of other replicas. Messages that find the queue full are lost, as on a network.
+func (n *Node) Receive(ms []raft.Message) {
+	select {
+	case n.inbox <- ms:
+	default:
+	}
+}
+
+// Propose commits commands and returns their results. After an error the commands may still be committed later.
+func (n *Node) Propose(ctx context.Context, cs []state.Command) ([]state.Result, error) {
+	if !n.leads(n.cfg.Clock()) {
+		return nil, n.notLeader()
+	}
+	p := proposal{commands: cs, done: make(chan outcome, 1)}
+	select {
+	case n.proposed <- p:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-n.stopped:
+		return nil, n.notLeader()
+	}
+	select {
+	case o := <-p.done:
+		return o.results, o.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-n.stopped:
+		return nil, n.notLeader()
+	}
+}
+
+// Announce answers an upstream's announcement on the leader. received is the time at which it arrived.
+func (n *Node) Announce(received time.Duration, a proto.Announcement) (proto.Grant, error) {
+	n.ownerMu.Lock()
+	defer n.ownerMu.Unlock()
+	// The lease is checked after the receipt, so that the grant ends before a successor stops waiting for it.
+	if n.planner == nil || !n.leads(n.cfg.Clock()) {
+		return proto.Grant{}, n.notLeader()
+	}
+	g, e := n.planner.Announce(received, n.model.Load(), a)
+	if e != nil {
+		return g, e
+	}
+	return g, nil
+}
+
+// Renew answers an entry host's renewal on the leader. received is the time at which it arrived.
+func (n *Node) Renew(received time.Duration, r owner.Renewal) (owner.Lease, error) {
+	n.ownerMu.Lock()
+	defer n.ownerMu.Unlock()
+	if n.planner == nil || !n.leads(n.cfg.Clock()) {
+		return owner.Lease{}, n.notLeader()
+	}
+	return n.planner.Renew(received, n.model.Load(), r), nil
+}
+
+// Watch returns once the state's version differs from version, or ctx ends.
+func (n *Node) Watch(ctx context.Context, version uint64) (uint64, error) {
+	for {
+		n.watchMu.Lock()
+		changed := n.changed
+		n.watchMu.Unlock()
+		if !n.leads(n.cfg.Clock()) {
+			return 0, n.notLeader()
+		}
+		if v := n.model.Load().Version; v != version {
+			return v, nil
+		}
+		select {
+		case <-ctx.Done():
+			return version, nil
+		case <-changed:
+		}
+	}
+}
+
+// Model returns the applied state of this replica, which may lag behind the leader's.
+func (n *Node) Model() *model.State { return n.model.Load() }
+
+// Status returns a view of the replica.
+func (n *Node) Status() Status { return *n.status.Load() }
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,372 @@
+// Package node runs one replica: it feeds messages, proposals and time to the raft machine, syncs its effects to
+// the store, applies committed entries and runs the planner while it leads.
+//
+// Lock order: raft, state, owner. The loop goroutine alone uses the raft machine and the store; it publishes the
+// leader lease and the immutable model for handlers, which take only the owner lock.
+package node
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"baobabreach/internal/errs"
+	"baobabreach/internal/model"
+	"baobabreach/internal/owner"
+	"baobabreach/internal/raft"
+	"baobabreach/internal/state"
+	"baobabreach/internal/store"
+	"baobabreach/pkg/proto"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	tickInterval = 10 * time.Millisecond
+	planInterval = 20 * time.Millisecond
+	// compactEntries is the length of the log after which a snapshot is taken.
+	compactEntries = 20_000
+	inboxLength    = 1024
+)
+
+// Config configures a Node.
+type Config struct {
+	Self       raft.Member
+	Store      *store.Store
+	Loaded     store.Loaded
+	Members    raft.Members
+	Random     func(n int64) int64
+	Clock      func() time.Duration
+	Send       func(to raft.Member, ms []raft.Message)
+	Log        *slog.Logger
+	Planner    owner.Config
+	InitialSet []model.Service
+}
+
+type proposal struct {
+	commands []state.Command
+	done     chan outcome
+	// planned marks the end of the planner's last batch instead of a proposal.
+	planned bool
+}
+
+type outcome struct {
+	results []state.Result
+	err     error
+}
+
+// Status is a view of the replica for queries.
+type Status struct {
+	ID      string       `json:"id"`
+	Host    string       `json:"host"`
+	Role    raft.Role    `json:"role"`
+	Term    uint64       `json:"term"`
+	Leader  raft.Member  `json:"leader"`
+	Commit  uint64       `json:"commit"`
+	Last    uint64       `json:"last"`
+	Members raft.Members `json:"members"`
+}
+
+// Node is one replica. It is safe for concurrent use.
+type Node struct {
+	cfg      Config
+	inbox    chan []raft.Message
+	proposed chan proposal
+	stopped  chan struct{}
+
+	// Owned by the loop.
+	raft     *raft.Machine
+	state    *state.Machine
+	waiting  map[uint64]proposal
+	hard     raft.HardState
+	lastPlan time.Duration
+	planning bool
+
+	leaseUntil atomic.Int64
+	model      atomic.Pointer[model.State]
+	status     atomic.Pointer[Status]
+
+	watchMu sync.Mutex
+	// changed is closed and replaced whenever the model's version grows.
+	changed chan struct{}
+
+	ownerMu sync.Mutex
+	// planner is nil unless this replica leads term plannerTerm.
+	planner     *owner.Planner
+	plannerTerm uint64
+}
+
+// New returns a node with what the store held.
+func New(cfg Config) (*Node, error) {
+	n := &Node{
+		cfg: cfg, inbox: make(chan []raft.Message, inboxLength), proposed: make(chan proposal, inboxLength),
+		stopped: make(chan struct{}), state: state.New(), waiting: map[uint64]proposal{}, changed: make(chan struct{}),
+		hard: cfg.Loaded.Hard,
+	}
+	if s := cfg.Loaded.Snapshot; s != nil {
+		if err := n.state.Restore(s.Data); err != nil {
+			return nil, errors.Wrap(err, "restore snapshot")
+		}
+	}
+	n.raft = raft.New(raft.Config{
+		ID: cfg.Self.ID, Members: cfg.Members, Log: cfg.Loaded.Log, Hard: cfg.Loaded.Hard, Snapshot: cfg.Loaded.Snapshot,
+		ElectionMin: ElectionMin, ElectionMax: ElectionMax, Heartbeat: Heartbeat, Random: cfg.Random, Now: cfg.Clock(),
+	})
+	n.publish()
+	return n, nil
+}
+
+// Timing of elections. The leader lease is ElectionMin less the clock-drift margin.
+const (
+	ElectionMin = 300 * time.Millisecond
+	ElectionMax = 500 * time.Millisecond
+	Heartbeat   = 50 * time.Millisecond
+)
+
+// Run drives the replica until ctx ends or the store fails.
+func (n *Node) Run(ctx context.Context) error {
+	defer close(n.stopped)
+	t := time.NewTicker(tickInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+			n.raft.Tick(n.cfg.Clock())
+		case ms := <-n.inbox:
+			n.step(ms)
+		case p := <-n.proposed:
+			n.propose(p)
+		}
+		n.drain()
+		if err := n.carryOut(); err != nil {
+			return errors.Wrap(err, "carry out effects")
+		}
+		n.plan()
+	}
+}
+
+// drain takes whatever else has arrived, so that one sync serves it all.
+func (n *Node) drain() {
+	for range inboxLength {
+		select {
+		case ms := <-n.inbox:
+			n.step(ms)
+		case p := <-n.proposed:
+			n.propose(p)
+		default:
+			return
+		}
+	}
+}
+
+func (n *Node) step(ms []raft.Message) {
+	for _, m := range ms {
+		n.raft.Step(n.cfg.Clock(), m)
+	}
+}
+
+func (n *Node) propose(p proposal) {
+	if p.planned {
+		n.planning = false
+		return
+	}
+	b, err := state.Encode(p.commands)
+	if err != nil {
+		p.done <- outcome{err: err}
+		return
+	}
+	if !n.raft.Ready() {
+		p.done <- outcome{err: n.notLeader()}
+		return
+	}
+	index, err := n.raft.Propose(n.cfg.Clock(), b)
+	if err != nil {
+		p.done <- outcome{err: n.notLeader()}
+		return
+	}
+	n.waiting[index] = p
+}
+
+func (n *Node) carryOut() error {
+	for {
+		e := n.raft.Take()
+		if e.Empty() {
+			n.publish()
+			return nil
+		}
+		if err := n.persist(e); err != nil {
+			return err
+		}
+		n.raft.Persisted()
+		n.sendAll(e.Messages)
+		if err := n.apply(e.Committed); err != nil {
+			return err
+		}
+	}
+}
+
+func (n *Node) persist(e raft.Effects) error {
+	if e.HardState != nil {
+		n.hard = *e.HardState
+	}
+	if e.Restore != nil {
+		if err := n.state.Restore(e.Restore.Data); err != nil {
+			return errors.Wrap(err, "restore snapshot")
+		}
+		if err := n.cfg.Store.SaveSnapshot(*e.Restore, n.hard, nil); err != nil {
+			return errors.Wrap(err, "save snapshot")
+		}
+	}
+	if e.HardState == nil && len(e.Entries) == 0 {
+		return nil
+	}
+	return errs.Wrap(n.cfg.Store.Save(e.HardState, e.Entries), "save log")
+}
+
+func (n *Node) sendAll(ms []raft.Message) {
+	byPeer := map[string][]raft.Message{}
+	for _, m := range ms {
+		byPeer[m.To] = append(byPeer[m.To], m)
+	}
+	for id, ms := range byPeer {
+		if to, ok := n.raft.Members().ByID(id); ok {
+			n.cfg.Send(to, ms)
+		}
+	}
+}
+
+func (n *Node) apply(es []raft.Entry) error {
+	for _, e := range es {
+		var rs []state.Result
+		if e.Kind == raft.EntryCommand {
+			var err error
+			if rs, err = n.state.Apply(e.Index, e.Data); err != nil {
+				return errors.Wrapf(err, "apply entry %d", e.Index)
+			}
+		}
+		if p, ok := n.waiting[e.Index]; ok {
+			delete(n.waiting, e.Index)
+			p.done <- outcome{results: rs}
+		}
+	}
+	return n.compact()
+}
+
+func (n *Node) compact() error {
+	if n.raft.Commit()-n.raft.BaseIndex() < compactEntries {
+		return nil
+	}
+	b, err := n.state.Snapshot()
+	if err != nil {
+		return err
+	}
+	s, ok := n.raft.Compact(n.raft.Commit(), b)
+	if !ok {
+		return nil
+	}
+	return errs.Wrap(n.cfg.Store.SaveSnapshot(s, n.hard, n.raft.Tail()), "save snapshot")
+}
+
+// publish shows the loop's state to the handlers.
+//
+// The model goes first: a handler that sees the lease must also see every entry committed before it.
+func (n *Node) publish() {
+	old := n.model.Swap(n.state.Model())
+	until := time.Duration(0)
+	if n.raft.Ready() {
+		until = n.raft.LeaseUntil()
+	}
+	n.leaseUntil.Store(int64(until))
+	n.failWaiting()
+	n.followLeadership()
+	leader, _ := n.raft.Members().ByID(n.raft.Leader())
+	n.status.Store(&Status{
+		ID: n.cfg.Self.ID, Host: n.cfg.Self.Host, Role: n.raft.Role(), Term: n.raft.Term(), Leader: leader,
+		Commit: n.raft.Commit(), Last: n.raft.LastIndex(), Members: n.raft.Members(),
+	})
+	if old == nil || old.Version != n.state.Model().Version {
+		n.watchMu.Lock()
+		close(n.changed)
+		n.changed = make(chan struct{})
+		n.watchMu.Unlock()
+	}
+}
+
+// failWaiting tells proposers on a deposed leader that the result of their entry is unknown.
+func (n *Node) failWaiting() {
+	if n.raft.Role() == raft.RoleLeader {
+		return
+	}
+	for i, p := range n.waiting {
+		delete(n.waiting, i)
+		p.done <- outcome{err: n.notLeader()}
+	}
+}
+
+func (n *Node) followLeadership() {
+	n.ownerMu.Lock()
+	defer n.ownerMu.Unlock()
+	if !n.raft.Ready() {
+		n.planner = nil
+		return
+	}
+	if n.planner == nil || n.plannerTerm != n.raft.Term() {
+		n.planner, n.plannerTerm = owner.New(n.cfg.Planner, n.cfg.Clock()), n.raft.Term()
+		n.cfg.Log.Info("became leader", "term", n.plannerTerm)
+	}
+}
+
+// plan lets the planner propose commands, one batch at a time.
+func (n *Node) plan() {
+	now := n.cfg.Clock()
+	if n.planning || now-n.lastPlan < planInterval || !n.leads(now) {
+		return
+	}
+	n.lastPlan = now
+	cs := n.initialServices()
+	if len(cs) == 0 {
+		n.ownerMu.Lock()
+		if n.planner != nil {
+			cs = n.planner.Tick(now, n.state.Model())
+		}
+		n.ownerMu.Unlock()
+	}
+	if len(cs) == 0 {
+		return
+	}
+	n.planning = true
+	p := proposal{commands: cs, done: make(chan outcome, 1)}
+	go func() {
+		<-p.done
+		n.proposed <- proposal{planned: true}
+	}()
+	n.propose(p)
+}
+
+func (n *Node) initialServices() []state.Command {
+	if n.state.Model().Revision > 0 || len(n.state.Model().Services) > 0 {
+		return nil
+	}
+	var cs []state.Command
+	for _, v := range n.cfg.InitialSet {
+		cs = append(cs, state.Command{Service: &v})
+	}
+	return cs
+}
+
+func (n *Node) leads(now time.Duration) bool {
+	return now < time.Duration(n.leaseUntil.Load())
+}
+
+func (n *Node) notLeader() *proto.Error {
+	e := proto.NotRun(proto.CodeNotLeader, http.StatusMisdirectedRequest, "host %s is not the leader", n.cfg.Self.Host)
+	if s := n.status.Load(); s != nil && s.Leader.ID != n.cfg.Self.ID {
+		e.Leader = s.Leader.Address
+	}
+	return e
+}
--- /dev/null
+++ b/internal/peer/codec.go
@@ -0,0 +1,133 @@
+// Package peer carries typed JSON messages between the daemons over HTTP.
+package peer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+
+	"baobabreach/internal/errs"
+	"baobabreach/pkg/proto"
+
+	"github.com/go-faster/errors"
+)
+
+// MaxBodyBytes bounds control messages other than raft messages.
+const MaxBodyBytes = 1 << 20
+
+// MaxRaftBytes bounds raft messages, which may hold a snapshot.
+const MaxRaftBytes = 64 << 20
+
+// Handle returns a handler that decodes the request, calls fn and encodes its answer or error.
+func Handle[Q, R any](limit int64, fn func(ctx context.Context, q Q) (R, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		q, err := Decode[Q](w, r, limit)
+		if err != nil {
+			WriteError(w, err)
+			return
+		}
+		a, err := fn(r.Context(), q)
+		if err != nil {
+			WriteError(w, err)
+			return
+		}
+		WriteJSON(w, http.StatusOK, a)
+	}
+}
+
+// Decode reads one JSON value of at most limit bytes. Unknown fields are refused.
+func Decode[Q any](w http.ResponseWriter, r *http.Request, limit int64) (Q, error) {
+	var q Q
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, limit))
+	d.DisallowUnknownFields()
+	err := d.Decode(&q)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return q, proto.NotRun(proto.CodeTooLarge, http.StatusRequestEntityTooLarge, "body is larger than %d bytes", limit)
+	}
+	if err != nil {
+		return q, proto.NotRun(proto.CodeBadRequest, http.StatusBadRequest, "body is not the expected JSON: %v", err)
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return q, proto.NotRun(proto.CodeBadRequest, http.StatusBadRequest, "body holds more than one JSON value")
+	}
+	return q, nil
+}
+
+// WriteJSON writes v as the body.
+func WriteJSON(w http.ResponseWriter, status int, v any) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		http.Error(w, "encode answer", http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
+	w.WriteHeader(status)
+	_, _ = w.Write(b)
+}
+
+// WriteError writes err as a typed error. Errors of other types become CodeInternal.
+func WriteError(w http.ResponseWriter, err error) {
+	e := AsError(err)
+	if e.Outcome != "" {
+		w.Header().Set(proto.HeaderOutcome, string(e.Outcome))
+	}
+	if e.RequestID != "" {
+		w.Header().Set(proto.HeaderRequestID, e.RequestID)
+	}
+	if e.RetryAfterMs > 0 {
+		w.Header().Set("Retry-After", strconv.FormatInt((e.RetryAfterMs+999)/1000, 10))
+	}
+	WriteJSON(w, e.Status, e)
+}
+
+// AsError finds the typed error in err, or wraps err as CodeInternal.
+func AsError(err error) *proto.Error {
+	var e *proto.Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return &proto.Error{Code: proto.CodeInternal, Status: http.StatusInternalServerError, Message: err.Error()}
+}
+
+// Call posts q to url and decodes the answer. A typed error of the other side is returned as *proto.Error.
+func Call[Q, R any](ctx context.Context, c *http.Client, url, token string, q Q) (R, error) {
+	var a R
+	b, err := json.Marshal(q)
+	if err != nil {
+		return a, errors.Wrap(err, "encode message")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(b))
+	if err != nil {
+		return a, errors.Wrap(err, "make request")
+	}
+	req.Header.Set("Content-Type", "application/json")
+	if token != "" {
+		req.Header.Set("Authorization", "Bearer "+token)
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		return a, errors.Wrap(err, "send message")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxRaftBytes))
+	if err != nil {
+		return a, errors.Wrap(err, "read answer")
+	}
+	if resp.StatusCode != http.StatusOK {
+		return a, decodeError(resp.StatusCode, body)
+	}
+	return a, errs.Wrap(json.Unmarshal(body, &a), "decode answer")
+}
+
+func decodeError(status int, body []byte) error {
+	var e proto.Error
+	if err := json.Unmarshal(body, &e); err != nil || e.Code == "" {
+		return errors.Errorf("status %d", status)
+	}
+	return &e
+}
--- /dev/null
+++ b/internal/peer/leader.go
@@ -0,0 +1,97 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"baobabreach/pkg/proto"
+)
+
+// Paths of the control address.
+const (
+	PathRaft     = "/control/v1/raft"
+	PathReplica  = "/control/v1/replica"
+	PathAnnounce = "/control/v1/announce"
+	PathRenew    = "/control/v1/renew"
+	PathWatch    = "/control/v1/watch"
+	PathPropose  = "/control/v1/propose"
+)
+
+// LeaderClient sends messages to the leader and follows it when it changes. It is safe for concurrent use.
+type LeaderClient struct {
+	client *http.Client
+	token  string
+
+	mu sync.Mutex
+	// addresses holds the control addresses of the replicas; current is an index into it.
+	addresses []string
+	current   int
+}
+
+// NewLeaderClient returns a client that starts with the first address.
+func NewLeaderClient(client *http.Client, token string, addresses []string) *LeaderClient {
+	return &LeaderClient{client: client, token: token, addresses: addresses}
+}
+
+// Leader returns the address that the next message goes to.
+func (l *LeaderClient) Leader() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.addresses[l.current]
+}
+
+// report moves on from an address that failed, to the hinted leader if it is known.
+func (l *LeaderClient) report(failed, hint string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.addresses[l.current] != failed {
+		return
+	}
+	for i, a := range l.addresses {
+		if hint != "" && a == hint {
+			l.current = i
+			return
+		}
+	}
+	l.current = (l.current + 1) % len(l.addresses)
+}
+
+// ToLeader sends q to the leader once, with at most timeout for the try.
+func ToLeader[Q, R any](ctx context.Context, l *LeaderClient, path string, timeout time.Duration, q Q) (R, error) {
+	address := l.Leader()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	a, err := Call[Q, R](ctx, l.client, "http://"+address+path, l.token, q)
+	if err == nil {
+		return a, nil
+	}
+	e := AsError(err)
+	if e.Code == proto.CodeNotLeader || e.Code == proto.CodeInternal {
+		l.report(address, e.Leader)
+	}
+	return a, err
+}
+
+// ToLeaderUntil repeats ToLeader until it succeeds, is refused by the leader, or ctx ends. q must be idempotent.
+func ToLeaderUntil[Q, R any](ctx context.Context, l *LeaderClient, path string, timeout time.Duration, q Q) (R, error) {
+	for {
+		a, err := ToLeader[Q, R](ctx, l, path, timeout, q)
+		if err == nil {
+			return a, nil
+		}
+		e := AsError(err)
+		if e.Code != proto.CodeNotLeader && e.Code != proto.CodeInternal {
+			return a, err
+		}
+		select {
+		case <-ctx.Done():
+			return a, proto.NotRun(proto.CodeNoLeader, http.StatusServiceUnavailable, "no leader can be reached: %v", err)
+		case <-time.After(leaderRetryPause):
+		}
+	}
+}
+
+// leaderRetryPause is the time between two tries to find the leader.
+const leaderRetryPause = 20 * time.Millisecond
--- /dev/null
+++ b/internal/route/table.go
@@ -0,0 +1,84 @@
+// Package route holds the routing table of an entry host and picks upstreams for requests.
+package route
+
+import (
+	"slices"
+	"sort"
+
+	"baobabreach/internal/model"
+)
+
+// Daemon is a live daemon of the fleet.
+type Daemon struct {
+	Host       string `json:"host"`
+	DataCentre string `json:"data_centre"`
+	Control    string `json:"control"`
+	Caller     string `json:"caller"`
+}
+
+// Table is what entry hosts need to know of the replicated state. It is immutable.
+type Table struct {
+	// Version is the state version that the table was made from.
+	Version   uint64                    `json:"version"`
+	Revision  uint64                    `json:"revision"`
+	Services  map[string]model.Service  `json:"services"`
+	Upstreams map[string]model.Upstream `json:"upstreams"`
+	// Ranges is sorted by service and first hash.
+	Ranges  []model.Assignment `json:"ranges"`
+	Drained map[string]bool    `json:"drained"`
+	// StoppedDCs lists the data centres that an operator stopped.
+	StoppedDCs map[string]bool        `json:"stopped_dcs"`
+	Limits     map[string]model.Limit `json:"limits"`
+}
+
+// NewTable returns the table of a state.
+func NewTable(s *model.State) *Table {
+	return &Table{
+		Version: s.Version, Revision: s.Revision, Services: s.Services, Upstreams: s.Upstreams, Ranges: s.Ranges,
+		Drained: s.Drained, StoppedDCs: s.StoppedDCs, Limits: s.Limits,
+	}
+}
+
+// Target is the result of a lookup.
+type Target struct {
+	Upstream model.Upstream
+	// Assignment is zero for a service not divided by key.
+	Assignment model.Assignment
+	// Moving is true while the range has no owner that accepts new work.
+	Moving bool
+}
+
+// Owner returns the owner of a key, or Moving if there is none at present.
+func (t *Table) Owner(service, key string) Target {
+	hash := model.HashKey(service, key)
+	i := sort.Search(len(t.Ranges), func(i int) bool {
+		r := t.Ranges[i]
+		return r.Service > service || (r.Service == service && r.Last >= hash)
+	})
+	if i == len(t.Ranges) || t.Ranges[i].Service != service {
+		return Target{Moving: true}
+	}
+	a := t.Ranges[i]
+	u, ok := t.Upstreams[a.Owner]
+	if !ok || a.Phase != model.PhaseHeld || u.Incarnation != a.Incarnation {
+		return Target{Assignment: a, Moving: true}
+	}
+	return Target{Upstream: u, Assignment: a}
+}
+
+// Candidates returns the upstreams of a service that accept new work, sorted by name.
+func (t *Table) Candidates(service string) []model.Upstream {
+	var out []model.Upstream
+	for _, u := range t.Upstreams {
+		if u.Service == service && !t.Drained[u.Name] && !t.StoppedDCs[u.DataCentre] {
+			out = append(out, u)
+		}
+	}
+	slices.SortFunc(out, func(a, b model.Upstream) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
--- /dev/null
+++ b/internal/stub/stub.go
@@ -0,0 +1,228 @@
+// Package stub is the stand-in upstream of the demo and the scenario tests. It announces itself, checks grants,
+// counts what it runs and drains on request.
+package stub
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"baobabreach/internal/peer"
+	"baobabreach/pkg/proto"
+)
+
+// Config configures an Upstream.
+type Config struct {
+	Name       string
+	Address    string
+	DataCentre string
+	Service    string
+	Slots      int
+	// Entries holds control addresses of entry hosts, tried in turn.
+	Entries      []string
+	Token        string
+	ChecksGrants bool
+	Keyed        bool
+	ServiceTime  time.Duration
+	Incarnation  uint64
+	Clock        func() time.Duration
+	Client       *http.Client
+}
+
+// Upstream is a stand-in upstream. It is safe for concurrent use.
+type Upstream struct {
+	cfg  Config
+	stop chan struct{}
+
+	mu sync.Mutex
+	// fences maps a range to the granted epoch; valid until grantUntil.
+	fences     map[uint64]uint64
+	grantUntil time.Duration
+	running    map[uint64]int
+	releasing  map[proto.Fence]bool
+	inFlight   int
+	draining   bool
+	drained    bool
+	runs       map[string]int
+	entry      int
+}
+
+// Stats is the body of the /stub/stats path.
+type Stats struct {
+	Name string `json:"name"`
+	// Runs counts the executions per request id.
+	Runs map[string]int `json:"runs"`
+	// Epochs maps the granted ranges to their epochs.
+	Epochs map[uint64]uint64 `json:"epochs"`
+}
+
+// New returns an upstream that holds no grant.
+func New(cfg Config) *Upstream {
+	return &Upstream{
+		cfg: cfg, stop: make(chan struct{}), fences: map[uint64]uint64{}, running: map[uint64]int{},
+		releasing: map[proto.Fence]bool{}, runs: map[string]int{},
+	}
+}
+
+// Announce announces the upstream until ctx ends.
+func (u *Upstream) Announce(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait := u.announceOnce(ctx)
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+}
+
+// Drain stops taking work and returns once the fleet has moved everything away, or ctx ends.
+func (u *Upstream) Drain(ctx context.Context) {
+	u.mu.Lock()
+	u.draining = true
+	u.mu.Unlock()
+	t := time.NewTicker(announceRetry)
+	defer t.Stop()
+	for {
+		u.mu.Lock()
+		over := u.drained && u.inFlight == 0
+		u.mu.Unlock()
+		if over {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+const (
+	announceTimeout = 300 * time.Millisecond
+	announceRetry   = 50 * time.Millisecond
+)
+
+func (u *Upstream) announceOnce(ctx context.Context) time.Duration {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	a, entry := u.announcement()
+	sentAt := u.cfg.Clock()
+	g, err := peer.Call[proto.Announcement, proto.Grant](ctx, u.cfg.Client, "http://"+entry+peer.PathAnnounce, u.cfg.Token, a)
+	if err != nil {
+		u.mu.Lock()
+		u.entry++
+		u.mu.Unlock()
+		return announceRetry
+	}
+	return u.take(sentAt, a.Released, g)
+}
+
+func (u *Upstream) announcement() (proto.Announcement, string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	a := proto.Announcement{
+		Name: u.cfg.Name, Address: u.cfg.Address, DataCentre: u.cfg.DataCentre, Service: u.cfg.Service,
+		Slots: u.cfg.Slots, Incarnation: u.cfg.Incarnation, ChecksGrants: u.cfg.ChecksGrants,
+		Draining: u.draining, InFlight: u.inFlight,
+	}
+	for f := range u.releasing {
+		if u.running[f.Range] == 0 {
+			a.Released = append(a.Released, f)
+		}
+	}
+	return a, u.cfg.Entries[u.entry%len(u.cfg.Entries)]
+}
+
+// take installs a grant and returns the time to the next announcement.
+func (u *Upstream) take(sentAt time.Duration, released []proto.Fence, g proto.Grant) time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.fences = map[uint64]uint64{}
+	for _, f := range g.Fences {
+		u.fences[f.Range] = f.Epoch
+	}
+	u.grantUntil = sentAt + time.Duration(g.TTLMs)*time.Millisecond
+	for _, f := range released {
+		delete(u.releasing, f)
+	}
+	for _, f := range g.Releasing {
+		u.releasing[f] = true
+	}
+	u.drained = g.Drained
+	return time.Duration(g.NextMs) * time.Millisecond
+}
+
+// ServeHTTP runs one request.
+func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/stub/stats" {
+		peer.WriteJSON(w, http.StatusOK, u.stats())
+		return
+	}
+	id := r.Header.Get(proto.HeaderRequestID)
+	w.Header().Set(proto.HeaderRequestID, id)
+	rangeID, err := u.begin(r)
+	if err != nil {
+		peer.WriteError(w, err.WithRequestID(id))
+		return
+	}
+	defer u.end(rangeID)
+	body, _ := io.ReadAll(r.Body)
+	select {
+	case <-r.Context().Done():
+		return
+	case <-time.After(u.cfg.ServiceTime):
+	}
+	peer.WriteJSON(w, http.StatusOK, echo{Upstream: u.cfg.Name, RequestID: id, Path: r.URL.Path, Bytes: len(body)})
+}
+
+// echo is the body of a stand-in's answer.
+type echo struct {
+	Upstream  string `json:"upstream"`
+	RequestID string `json:"request_id"`
+	Path      string `json:"path"`
+	Bytes     int    `json:"bytes"`
+}
+
+// begin checks the grant and takes a slot.
+func (u *Upstream) begin(r *http.Request) (uint64, *proto.Error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	var rangeID uint64
+	if u.cfg.Keyed {
+		id, err1 := strconv.ParseUint(r.Header.Get(proto.HeaderRange), 10, 64)
+		epoch, err2 := strconv.ParseUint(r.Header.Get(proto.HeaderEpoch), 10, 64)
+		granted := err1 == nil && err2 == nil && u.fences[id] == epoch && epoch > 0 && u.cfg.Clock() < u.grantUntil
+		if u.cfg.ChecksGrants && !granted {
+			return 0, proto.NotRun(proto.CodeStaleGrant, http.StatusConflict, "no grant for range %d epoch %d", id, epoch)
+		}
+		rangeID = id
+	}
+	if u.inFlight >= u.cfg.Slots {
+		return 0, proto.NotRun(proto.CodeOverloaded, http.StatusServiceUnavailable, "all %d slots are in use", u.cfg.Slots)
+	}
+	u.inFlight++
+	u.running[rangeID]++
+	u.runs[r.Header.Get(proto.HeaderRequestID)]++
+	return rangeID, nil
+}
+
+func (u *Upstream) end(rangeID uint64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.inFlight--
+	u.running[rangeID]--
+}
+
+func (u *Upstream) stats() json.RawMessage {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	b, err := json.Marshal(Stats{Name: u.cfg.Name, Runs: u.runs, Epochs: u.fences})
+	if err != nil {
+		return json.RawMessage("{}")
+	}
+	return b
+}
