Judge request ids by the leader's clock and find poison requests

Claims were stamped with the wall clock of the host that served the caller, so one host with a clock far ahead would have moved the log's time and expired the ids of all others. The leader now stamps them.

Not wired into the entry host yet.

claim: differential test against a record that forgets nothing, 500 seeds.

--- /dev/null
+++ b/internal/claim/claim_test.go
@@ -0,0 +1,122 @@
+package claim_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"baobabreach/internal/claim"
+)
+
+const startMs = int64(1_790_000_000_000)
+
+// naive is an obviously right record of what each holder was told: it keeps everything for ever.
+type naive struct {
+	granted  map[string]string
+	content  map[string]string
+	recorded map[string]bool
+}
+
+func newNaive() *naive {
+	return &naive{
+		granted: map[string]string{}, content: map[string]string{}, recorded: map[string]bool{},
+	}
+}
+
+func (n *naive) claim(id, content, holder string) claim.Status {
+	switch {
+	case n.granted[id] == "":
+		n.granted[id], n.content[id] = holder, content
+		return claim.StatusGranted
+	case n.content[id] != content:
+		return claim.StatusReused
+	case n.recorded[id]:
+		return claim.StatusDone
+	case n.granted[id] == holder:
+		return claim.StatusGranted
+	}
+	return claim.StatusHeld
+}
+
+func (n *naive) abandon(id, holder string) {
+	if n.granted[id] == holder && !n.recorded[id] {
+		delete(n.granted, id)
+	}
+}
+
+// Guards against a second execution of one request id: claims, resends, abandons and records of several hosts in any
+// order give the same answers as a record that forgets nothing.
+func TestClaimsAgreeWithNaiveRecord(t *testing.T) {
+	for seed := range uint64(500) {
+		runClaims(t, seed)
+	}
+}
+
+func runClaims(t *testing.T, seed uint64) {
+	is := is.New(t)
+	r := rand.New(rand.NewPCG(seed, 2))
+	table, model := claim.NewTable(), newNaive()
+	now := startMs
+	ids := make([]string, 5)
+	for i := range ids {
+		ids[i] = claim.NewID(now, []byte(fmt.Sprintf("%010d", i)))
+	}
+	for range 60 {
+		now += int64(r.IntN(20_000)) // 60 steps stay within the retention
+		id := ids[r.IntN(len(ids))]
+		holder := fmt.Sprintf("host-%d", r.IntN(3))
+		content := "content"
+		if r.IntN(10) == 0 {
+			content = "other"
+		}
+		switch r.IntN(6) {
+		case 0:
+			table.Abandon(id, holder)
+			model.abandon(id, holder)
+		case 1:
+			table.Record(id, holder, claim.Answer{HTTPStatus: 201})
+			if model.granted[id] == holder {
+				model.recorded[id] = true
+			}
+		default:
+			is.Equal(table.Claim(id, content, holder, now).Status, model.claim(id, content, holder))
+		}
+	}
+}
+
+// Guards against a run of a request whose claim was forgotten: an id older than the retention is never granted again.
+func TestExpiredIDIsNeverGranted(t *testing.T) {
+	is := is.New(t)
+	table := claim.NewTable()
+	id := claim.NewID(startMs, make([]byte, 10))
+	is.Equal(table.Claim(id, "c", "a", startMs).Status, claim.StatusGranted)
+	later := startMs + claim.Retention.Milliseconds() + 1
+	is.Equal(table.Claim(id, "c", "b", later).Status, claim.StatusExpired)
+	is.Equal(len(table.Records), 0)
+	is.Equal(table.Claim(id, "c", "b", startMs).Status, claim.StatusExpired) // the log's time never goes back
+}
+
+// Guards against an id whose time lies so far ahead that its claim would never be forgotten.
+func TestIDFromTheFutureIsRefused(t *testing.T) {
+	is := is.New(t)
+	id := claim.NewID(startMs+time.Hour.Milliseconds(), make([]byte, 10))
+	is.Equal(claim.NewTable().Claim(id, "c", "a", startMs).Status, claim.StatusExpired)
+}
+
+// Guards against ids that carry no time.
+func TestOnlyUUIDv7IsAnID(t *testing.T) {
+	is := is.New(t)
+	for _, id := range []string{
+		"", "x", "018f0000-0000-4000-8000-000000000001", "018f0000-0000-7000-c000-000000000001",
+		"018f0000-0000-7000-8000-00000000000g", "018f00000000-7000-8000-0000000000001",
+	} {
+		_, err := claim.IDTime(id)
+		is.True(err != nil)
+	}
+	at, err := claim.IDTime(claim.NewID(startMs, make([]byte, 10)))
+	is.NoErr(err)
+	is.Equal(at, startMs)
+}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -128,7 +128,7 @@
 func (s *Server) runOnce(ctx context.Context, q *Request) (*Answer, *proto.Error) {
 	holder := s.newHolder()
 	r, err := s.cfg.Propose(ctx, state.Command{Claim: &state.Claim{
-		ID: q.ID, Fingerprint: q.Fingerprint, Holder: holder, NowMs: time.Now().UnixMilli(),
+		ID: q.ID, Fingerprint: q.Fingerprint, Holder: holder,
 	}})
 	if err != nil || r.Claim == nil {
 		return nil, proto.NotRun(proto.CodeNoLeader, http.StatusServiceUnavailable, "the request can't be claimed: %v", err)
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -24,6 +24,7 @@
 	if !n.leads(n.cfg.Clock()) {
 		return nil, n.notLeader()
 	}
+	n.stampClaims(cs)
 	p := proposal{commands: cs, done: make(chan outcome, 1)}
 	select {
 	case n.proposed <- p:
@@ -42,6 +43,18 @@
 	}
 }
 
+// stampClaims gives claims the leader's wall clock. The clock of the host that serves the caller is not used: one host
+// with a clock far ahead would make the ids of all others look expired.
+func (n *Node) stampClaims(cs []state.Command) {
+	for i := range cs {
+		if c := cs[i].Claim; c != nil {
+			stamped := *c
+			stamped.NowMs = n.cfg.WallMs()
+			cs[i].Claim = &stamped
+		}
+	}
+}
+
 // Announce answers an upstream's announcement on the leader. received is the time at which it arrived.
 func (n *Node) Announce(received time.Duration, a proto.Announcement) (proto.Grant, error) {
 	n.ownerMu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -34,12 +34,14 @@
 
 // Config configures a Node.
 type Config struct {
-	Self       raft.Member
-	Store      *store.Store
-	Loaded     store.Loaded
-	Members    raft.Members
-	Random     func(n int64) int64
-	Clock      func() time.Duration
+	Self    raft.Member
+	Store   *store.Store
+	Loaded  store.Loaded
+	Members raft.Members
+	Random  func(n int64) int64
+	Clock   func() time.Duration
+	// WallMs is the wall clock in milliseconds since the Unix epoch; used for request ids only, never for leases.
+	WallMs     func() int64
 	Send       func(to raft.Member, ms []raft.Message)
 	Log        *slog.Logger
 	Planner    owner.Config
--- /dev/null
+++ b/internal/poison/board.go
@@ -0,0 +1,172 @@
+// Package poison finds requests whose content crashes upstreams. The leader keeps a Board of suspects that all entry
+// hosts report to; every entry host keeps a Guard that refuses or isolates requests by the board's list.
+package poison
+
+import (
+	"sort"
+	"time"
+)
+
+const (
+	// QuarantineTime is how long content is refused after its second crash.
+	QuarantineTime = 10 * time.Minute
+	// WatchTime is how long content is watched after its first crash.
+	WatchTime = 10 * time.Minute
+	// PermitTime bounds the exclusive run of a watched request on one upstream.
+	PermitTime = 30 * time.Second
+	// crashesToQuarantine is the number of distinct crashed processes that convict a fingerprint.
+	crashesToQuarantine = 2
+	// maxSuspects bounds the memory of the board; the oldest suspects are forgotten first.
+	maxSuspects = 4096
+)
+
+// Process is one run of an upstream. A process can crash only once.
+type Process struct {
+	Name        string `json:"name"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// Report tells that connections to an upstream broke while the fingerprints were in flight on it.
+type Report struct {
+	Process      Process  `json:"process"`
+	Fingerprints []string `json:"fingerprints"`
+}
+
+// Quarantine is refused content.
+type Quarantine struct {
+	Fingerprint string `json:"fingerprint"`
+	// RemainingMs is the time left at the moment the list was made.
+	RemainingMs int64 `json:"remaining_ms"`
+}
+
+// List is what entry hosts need to know of the board.
+type List struct {
+	// Version changes with every change of the list. It starts anew with each leader, from the leader's term.
+	Version     uint64       `json:"version"`
+	Watched     []string     `json:"watched"`
+	Quarantined []Quarantine `json:"quarantined"`
+}
+
+type suspect struct {
+	// crashes holds the crashed processes that ran the content; not empty.
+	crashes map[Process]bool
+	until   time.Duration
+	// quarantined is true once the content is refused.
+	quarantined bool
+}
+
+type permit struct {
+	holder      string
+	fingerprint string
+	until       time.Duration
+}
+
+// Board merges the reports of all entry hosts. It is not safe for concurrent use.
+type Board struct {
+	version  uint64
+	suspects map[string]*suspect
+	// permits holds the one watched run that each upstream may have at a time.
+	permits map[string]permit
+	// convictAnyone drops the need for a permit; set by tests only, to show that the need matters.
+	convictAnyone bool
+}
+
+// NewBoard returns an empty board. Versions of different leaders differ if firstVersion does.
+func NewBoard(firstVersion uint64) *Board {
+	return &Board{version: firstVersion, suspects: map[string]*suspect{}, permits: map[string]permit{}}
+}
+
+// Report counts a crash. Reports of the same process from several hosts are one crash. Content is quarantined only if
+// the crash happened while it held the permit of the upstream: other content may have run beside it by accident.
+func (b *Board) Report(now time.Duration, r Report) {
+	b.expire(now)
+	for _, f := range r.Fingerprints {
+		b.blame(now, f, r.Process)
+	}
+}
+
+func (b *Board) blame(now time.Duration, fingerprint string, p Process) {
+	s := b.suspects[fingerprint]
+	if s == nil {
+		b.makeRoom()
+		s = &suspect{crashes: map[Process]bool{}, until: now + WatchTime}
+		b.suspects[fingerprint] = s
+		b.version++
+	}
+	s.crashes[p] = true
+	alone := b.convictAnyone || b.permits[p.Name].fingerprint == fingerprint
+	if len(s.crashes) >= crashesToQuarantine && alone && !s.quarantined {
+		s.quarantined, s.until = true, now+QuarantineTime
+		b.version++
+	}
+}
+
+// Clear forgets watched content that finished well while it ran alone. Quarantined content stays.
+func (b *Board) Clear(now time.Duration, fingerprint string) {
+	b.expire(now)
+	if s := b.suspects[fingerprint]; s != nil && !s.quarantined {
+		delete(b.suspects, fingerprint)
+		b.version++
+	}
+}
+
+// Permit lets the holder run watched content on the upstream while no other watched content runs there.
+func (b *Board) Permit(now time.Duration, upstream, fingerprint, holder string) bool {
+	p, ok := b.permits[upstream]
+	if ok && now < p.until && p.holder != holder {
+		return false
+	}
+	b.permits[upstream] = permit{holder: holder, fingerprint: fingerprint, until: now + PermitTime}
+	return true
+}
+
+// Release gives a permit back.
+func (b *Board) Release(upstream, holder string) {
+	if b.permits[upstream].holder == holder {
+		delete(b.permits, upstream)
+	}
+}
+
+// List returns the suspects at the time now, sorted.
+func (b *Board) List(now time.Duration) List {
+	b.expire(now)
+	l := List{Version: b.version, Watched: []string{}, Quarantined: []Quarantine{}}
+	for f, s := range b.suspects {
+		if s.quarantined {
+			l.Quarantined = append(l.Quarantined, Quarantine{Fingerprint: f, RemainingMs: (s.until - now).Milliseconds()})
+			continue
+		}
+		l.Watched = append(l.Watched, f)
+	}
+	sort.Strings(l.Watched)
+	sort.Slice(l.Quarantined, func(i, j int) bool { return l.Quarantined[i].Fingerprint < l.Quarantined[j].Fingerprint })
+	return l
+}
+
+// Version returns the version of the list.
+func (b *Board) Version(now time.Duration) uint64 {
+	b.expire(now)
+	return b.version
+}
+
+func (b *Board) expire(now time.Duration) {
+	for f, s := range b.suspects {
+		if now >= s.until {
+			delete(b.suspects, f)
+			b.version++
+		}
+	}
+}
+
+func (b *Board) makeRoom() {
+	if len(b.suspects) < maxSuspects {
+		return
+	}
+	oldest, found := "", false
+	for f, s := range b.suspects {
+		if !found || s.until < b.suspects[oldest].until || (s.until == b.suspects[oldest].until && f < oldest) {
+			oldest, found = f, true
+		}
+	}
+	delete(b.suspects, oldest)
+}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -49,7 +49,7 @@
 	ID          string `json:"id"`
 	Fingerprint string `json:"fingerprint"`
 	Holder      string `json:"holder"`
-	// NowMs is the proposer's wall clock in milliseconds since the Unix epoch.
+	// NowMs is the leader's wall clock in milliseconds since the Unix epoch.
 	NowMs int64 `json:"now_ms"`
 }
 
