Count leases by the boot clock and test settings and announcements

The monotonic clock of package time stops while a host is suspended, so a suspended host would have returned with a lease that looked valid.

--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"baobabreach/internal/model"
+	"baobabreach/pkg/proto"
 
 	"gopkg.in/ini.v1"
 )
@@ -149,20 +150,12 @@
 
 func (r *reader) word(section, key string) string {
 	v := r.text(section, key, "")
-	if !isWord(v) {
+	if !proto.IsName(v) {
 		r.add(section, key, v, "a name of letters, digits, '-' and '_'")
 	}
 	return v
 }
 
-func isWord(v string) bool {
-	ok := v != "" && len(v) <= 64
-	for _, c := range v {
-		ok = ok && (c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c == '-' || c == '_')
-	}
-	return ok
-}
-
 func (r *reader) address(section, key string) string {
 	v := r.text(section, key, "")
 	if _, err := netip.ParseAddrPort(v); err != nil {
@@ -217,7 +210,7 @@
 	for _, part := range strings.Split(v, ",") {
 		host, address, ok := strings.Cut(strings.TrimSpace(part), "@")
 		_, err := netip.ParseAddrPort(address)
-		if !ok || err != nil || !isWord(host) {
+		if !ok || err != nil || !proto.IsName(host) {
 			r.add("cluster", "replicas", v, "a list such as a1@127.0.0.1:7101, b1@127.0.0.1:7201, c1@127.0.0.1:7301")
 			return nil
 		}
@@ -240,7 +233,7 @@
 		if !ok {
 			continue
 		}
-		if !isWord(name) {
+		if !proto.IsName(name) {
 			r.add(s.Name(), "", "", "a service name of letters, digits, '-' and '_'")
 		}
 		v := model.Service{
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -4,8 +4,6 @@
 	"context"
 	"crypto/subtle"
 	"net/http"
-	"net/netip"
-	"strings"
 	"time"
 
 	"baobabreach/internal/node"
@@ -61,7 +59,7 @@
 // announce answers on the leader and passes the announcement on everywhere else.
 func (c control) announce(ctx context.Context, a proto.Announcement) (proto.Grant, error) {
 	received := c.clock()
-	if err := checkAnnouncement(a); err != nil {
+	if err := a.Validate(); err != nil {
 		return proto.Grant{}, err
 	}
 	if n := c.node(); n != nil {
@@ -73,34 +71,6 @@
 	return peer.ToLeader[proto.Announcement, proto.Grant](ctx, c.leader, peer.PathAnnounce, renewTimeout, a)
 }
 
-func checkAnnouncement(a proto.Announcement) error {
-	bad := func(expected string) error {
-		return proto.NotRun(proto.CodeBadRequest, http.StatusBadRequest, "announcement: expected %s", expected)
-	}
-	_, err := netip.ParseAddrPort(a.Address)
-	switch {
-	case !isName(a.Name):
-		return bad("a name of letters, digits, '-' and '_'")
-	case !isName(a.Service):
-		return bad("a service of letters, digits, '-' and '_'")
-	case !isName(a.DataCentre):
-		return bad("a data_centre of letters, digits, '-' and '_'")
-	case err != nil:
-		return bad("an address such as 10.0.0.1:8080")
-	case a.Slots < 1 || a.Slots > maxSlots:
-		return bad("slots from 1 to 10000")
-	case a.Incarnation == 0:
-		return bad("an incarnation above 0")
-	}
-	return nil
-}
-
-const maxSlots = 10_000
-
-func isName(s string) bool {
-	return s != "" && len(s) <= 64 && strings.Trim(s, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_") == ""
-}
-
 func (c control) renew(_ context.Context, r owner.Renewal) (owner.Lease, error) {
 	received := c.clock()
 	n, err := c.replicaNode()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"baobabreach/internal/admit"
+	"baobabreach/internal/clock"
 	"baobabreach/internal/config"
 	"baobabreach/internal/entry"
 	"baobabreach/internal/errs"
@@ -34,7 +35,7 @@
 	"go.uber.org/fx/fxevent"
 )
 
-// Clock is the monotonic time since the start of the process.
+// Clock is the time that leases are counted by, since the boot of the host.
 type Clock func() time.Duration
 
 // tokens are the shared secrets of the operator and control addresses; empty if none is set.
@@ -75,8 +76,7 @@
 }
 
 func newClock() Clock {
-	start := time.Now()
-	return func() time.Duration { return time.Since(start) }
+	return clock.SinceBoot
 }
 
 func newTokens(cfg config.Config) (tokens, error) {
@@ -151,10 +151,10 @@
 
 func newReplica() *replica { return &replica{} }
 
-func newRenewer(cfg config.Config, v *route.View, l *peer.LeaderClient, clock Clock, log *slog.Logger) *renewer {
+func newRenewer(cfg config.Config, v *route.View, l *peer.LeaderClient, now Clock, log *slog.Logger) *renewer {
 	return &renewer{
 		self: route.Daemon{Host: cfg.Host, DataCentre: cfg.DataCentre, Control: cfg.Control, Caller: cfg.Caller},
-		view: v, leader: l, clock: clock, log: logs.Part(log, "lease"), changed: make(chan struct{}),
+		view: v, leader: l, clock: now, log: logs.Part(log, "lease"), changed: make(chan struct{}),
 	}
 }
 
@@ -162,11 +162,11 @@
 const claimTryTimeout = time.Second
 
 func newEntry(
-	cfg config.Config, v *route.View, l *peer.LeaderClient, c clients, m *metric.Registry, clock Clock, log *slog.Logger,
+	cfg config.Config, v *route.View, l *peer.LeaderClient, c clients, m *metric.Registry, now Clock, log *slog.Logger,
 ) *entry.Server {
 	local := admit.NewLocal()
 	return entry.New(entry.Config{
-		Host: cfg.Host, DataCentre: cfg.DataCentre, View: v, Clock: clock, Client: c.upstream, Metrics: m,
+		Host: cfg.Host, DataCentre: cfg.DataCentre, View: v, Clock: now, Client: c.upstream, Metrics: m,
 		Log: logs.Part(log, "entry"), MaxBodyBytes: cfg.MaxBodyBytes, MaxAnswerBytes: cfg.MaxAnswerBytes,
 		Propose: func(ctx context.Context, cmd state.Command) (state.Result, error) {
 			rs, err := peer.ToLeaderUntil[[]state.Command, []state.Result](ctx, l, peer.PathPropose, claimTryTimeout,
@@ -202,7 +202,7 @@
 }
 
 func startReplica(
-	lc fx.Lifecycle, sd fx.Shutdowner, cfg config.Config, r *replica, c clients, t tokens, clock Clock, log *slog.Logger,
+	lc fx.Lifecycle, sd fx.Shutdowner, cfg config.Config, r *replica, c clients, t tokens, now Clock, log *slog.Logger,
 ) error {
 	if !cfg.IsReplica() {
 		return nil
@@ -225,7 +225,7 @@
 		}
 		r.info.Store(&replicaInfo{Member: self, Members: &ms})
 		n, err := node.New(node.Config{
-			Self: self, Store: st, Loaded: loaded, Members: ms, Random: rand.Int64N, Clock: clock,
+			Self: self, Store: st, Loaded: loaded, Members: ms, Random: rand.Int64N, Clock: now,
 			WallMs: func() int64 { return time.Now().UnixMilli() },
 			Send:   newSender(ctx, c.control, t.control).send, Log: log,
 			Planner: owner.Config{MaxMoves: cfg.MaxMoves}, InitialSet: cfg.Services,
--- /dev/null
+++ b/pkg/proto/check.go
@@ -0,0 +1,44 @@
+package proto
+
+import (
+	"net/http"
+	"net/netip"
+	"strings"
+)
+
+const (
+	maxSlots     = 10_000
+	maxNameBytes = 64
+	nameChars    = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_"
+)
+
+// IsName tells whether s is a valid name of an upstream, service, host or data centre.
+func IsName(s string) bool {
+	return s != "" && len(s) <= maxNameBytes && strings.Trim(s, nameChars) == ""
+}
+
+// Validate returns an error of type *Error with CodeBadRequest if a field is out of range.
+func (a Announcement) Validate() error {
+	_, addressErr := netip.ParseAddrPort(a.Address)
+	switch {
+	case !IsName(a.Name):
+		return badAnnouncement("a name of letters, digits, '-' and '_'")
+	case !IsName(a.Service):
+		return badAnnouncement("a service of letters, digits, '-' and '_'")
+	case !IsName(a.DataCentre):
+		return badAnnouncement("a data_centre of letters, digits, '-' and '_'")
+	case addressErr != nil:
+		return badAnnouncement("an address such as 10.0.0.1:8080")
+	case a.Slots < 1 || a.Slots > maxSlots:
+		return badAnnouncement("slots from 1 to 10000")
+	case a.Incarnation == 0:
+		return badAnnouncement("an incarnation above 0")
+	case a.InFlight < 0:
+		return badAnnouncement("in_flight of at least 0")
+	}
+	return nil
+}
+
+func badAnnouncement(expected string) *Error {
+	return NotRun(CodeBadRequest, http.StatusBadRequest, "announcement: expected %s", expected)
+}
