Report broken connections and refuse poison requests on every host

A request whose connection broke is reported to the leader before its caller is answered, and the report returns once every entry host has the new list or its routing lease has ended. So a caller that sends the same content again meets the list wherever the balancer takes it. Watched content runs alone on an upstream by a permit of the leader. Not yet run against a crashing process.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -9,6 +9,7 @@
 	"baobabreach/internal/node"
 	"baobabreach/internal/owner"
 	"baobabreach/internal/peer"
+	"baobabreach/internal/poison"
 	"baobabreach/internal/raft"
 	"baobabreach/internal/state"
 	"baobabreach/pkg/proto"
@@ -34,6 +35,8 @@
 	m.Handle(peer.PathRenew, peer.Handle(peer.MaxBodyBytes, c.renew)).Methods(http.MethodPost)
 	m.Handle(peer.PathWatch, peer.Handle(peer.MaxBodyBytes, c.watch)).Methods(http.MethodPost)
 	m.Handle(peer.PathPropose, peer.Handle(peer.MaxBodyBytes, c.propose)).Methods(http.MethodPost)
+	m.Handle(peer.PathCrash, peer.Handle(peer.MaxBodyBytes, c.crash)).Methods(http.MethodPost)
+	m.Handle(peer.PathPermit, peer.Handle(peer.MaxBodyBytes, c.permit)).Methods(http.MethodPost)
 	m.NotFoundHandler = notFound()
 	m.MethodNotAllowedHandler = notFound()
 	return requireToken(c.token, m)
@@ -80,15 +83,30 @@
 	return n.Renew(received, r)
 }
 
-func (c control) watch(ctx context.Context, q watchQuery) (watchAnswer, error) {
+func (c control) watch(ctx context.Context, have owner.Versions) (owner.Versions, error) {
 	n, err := c.replicaNode()
 	if err != nil {
-		return watchAnswer{}, err
+		return have, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
-	v, err := n.Watch(ctx, q.Version)
-	return watchAnswer{Version: v}, err
+	return n.Watch(ctx, have)
+}
+
+func (c control) crash(ctx context.Context, r poison.Report) (struct{}, error) {
+	n, err := c.replicaNode()
+	if err != nil {
+		return struct{}{}, err
+	}
+	return struct{}{}, n.ReportCrash(ctx, r)
+}
+
+func (c control) permit(_ context.Context, q poison.PermitQuery) (poison.PermitAnswer, error) {
+	n, err := c.replicaNode()
+	if err != nil {
+		return poison.PermitAnswer{}, err
+	}
+	return n.Permit(q)
 }
 
 func (c control) propose(ctx context.Context, cs []state.Command) ([]state.Result, error) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"baobabreach/internal/node"
 	"baobabreach/internal/owner"
 	"baobabreach/internal/peer"
+	"baobabreach/internal/poison"
 	"baobabreach/internal/raft"
 	"baobabreach/internal/route"
 	"baobabreach/internal/state"
@@ -58,7 +59,7 @@
 		fx.Supply(cfg),
 		fx.Provide(
 			newLogger, newClock, newTokens, newClients, newLeaderClient, metric.New, route.NewView,
-			newReplica, newRenewer, newEntry, newStopper, newServers,
+			newReplica, newRenewer, newGuard, newEntry, newStopper, newServers,
 		),
 		fx.Invoke(startListeners, startReplica, startRenewer, startDrain),
 	)
@@ -151,23 +152,44 @@
 
 func newReplica() *replica { return &replica{} }
 
-func newRenewer(cfg config.Config, v *route.View, l *peer.LeaderClient, now Clock, log *slog.Logger) *renewer {
+func newRenewer(
+	cfg config.Config, v *route.View, l *peer.LeaderClient, now Clock, g *entry.Guard, log *slog.Logger,
+) *renewer {
 	return &renewer{
 		self: route.Daemon{Host: cfg.Host, DataCentre: cfg.DataCentre, Control: cfg.Control, Caller: cfg.Caller},
-		view: v, leader: l, clock: now, log: logs.Part(log, "lease"), changed: make(chan struct{}),
+		view: v, leader: l, clock: now, log: logs.Part(log, "lease"), changed: make(chan struct{}), guard: g,
 	}
 }
 
 // claimTryTimeout bounds one try to commit a claim; the whole time is bounded by the request's deadline.
 const claimTryTimeout = time.Second
 
+func newGuard(l *peer.LeaderClient, now Clock, log *slog.Logger) *entry.Guard {
+	return entry.NewGuard(entry.GuardConfig{
+		Clock: now, Log: logs.Part(log, "guard"),
+		Report: func(ctx context.Context, r poison.Report) error {
+			_, err := peer.ToLeaderUntil[poison.Report, struct{}](ctx, l, peer.PathCrash, reportTryTimeout, r)
+			return err
+		},
+		Permit: func(ctx context.Context, q poison.PermitQuery) (bool, error) {
+			a, err := peer.ToLeaderUntil[poison.PermitQuery, poison.PermitAnswer](ctx, l, peer.PathPermit, claimTryTimeout, q)
+			return a.Granted, err
+		},
+	})
+}
+
+// reportTryTimeout is longer than the leader's wait for the entry hosts.
+const reportTryTimeout = 2 * time.Second
+
 func newEntry(
-	cfg config.Config, v *route.View, l *peer.LeaderClient, c clients, m *metric.Registry, now Clock, log *slog.Logger,
+	cfg config.Config, v *route.View, l *peer.LeaderClient, c clients, g *entry.Guard, m *metric.Registry,
+	now Clock, log *slog.Logger,
 ) *entry.Server {
 	local := admit.NewLocal()
 	return entry.New(entry.Config{
-		Host: cfg.Host, DataCentre: cfg.DataCentre, View: v, Clock: now, Client: c.upstream, Metrics: m,
-		Log: logs.Part(log, "entry"), MaxBodyBytes: cfg.MaxBodyBytes, MaxAnswerBytes: cfg.MaxAnswerBytes,
+		Host: cfg.Host, DataCentre: cfg.DataCentre, View: v, Clock: now, Guard: g, Client: c.upstream,
+		Metrics: m,
+		Log:     logs.Part(log, "entry"), MaxBodyBytes: cfg.MaxBodyBytes, MaxAnswerBytes: cfg.MaxAnswerBytes,
 		Propose: func(ctx context.Context, cmd state.Command) (state.Result, error) {
 			rs, err := peer.ToLeaderUntil[[]state.Command, []state.Result](ctx, l, peer.PathPropose, claimTryTimeout,
 				[]state.Command{cmd})
--- a/internal/daemon/renew.go
+++ b/internal/daemon/renew.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"time"
 
+	"baobabreach/internal/entry"
 	"baobabreach/internal/owner"
 	"baobabreach/internal/peer"
 	"baobabreach/internal/route"
@@ -25,15 +26,7 @@
 	log    *slog.Logger
 	// changed asks for a renewal at once.
 	changed chan struct{}
-}
-
-// watchQuery asks for the next change of the state.
-type watchQuery struct {
-	Version uint64 `json:"version"`
-}
-
-type watchAnswer struct {
-	Version uint64 `json:"version"`
+	guard   *entry.Guard
 }
 
 // run renews the lease until ctx ends.
@@ -56,21 +49,27 @@
 	present, oldest := r.view.Versions()
 	sentAt := r.clock()
 	l, err := peer.ToLeader[owner.Renewal, owner.Lease](ctx, r.leader, peer.PathRenew, renewTimeout,
-		owner.Renewal{Daemon: r.self, TableVersion: present, OldestVersion: oldest})
+		owner.Renewal{
+			Daemon: r.self, TableVersion: present, OldestVersion: oldest, SuspectsVersion: r.guard.Version(),
+		})
 	if err != nil {
 		return err
 	}
 	r.view.Update(sentAt, time.Duration(l.TTLMs)*time.Millisecond, l.Table, l.Daemons)
+	if l.Suspects != nil {
+		r.guard.Update(ctx, *l.Suspects)
+	}
 	return nil
 }
 
 // watch asks for renewals as soon as the state changes, until ctx ends.
 func (r *renewer) watch(ctx context.Context) {
 	for ctx.Err() == nil {
-		present, _ := r.view.Versions()
-		a, err := peer.ToLeader[watchQuery, watchAnswer](ctx, r.leader, peer.PathWatch, watchTimeout+time.Second,
-			watchQuery{Version: present})
-		if err == nil && a.Version != present {
+		table, _ := r.view.Versions()
+		have := owner.Versions{Table: table, Suspects: r.guard.Version()}
+		now, err := peer.ToLeader[owner.Versions, owner.Versions](ctx, r.leader, peer.PathWatch,
+			watchTimeout+time.Second, have)
+		if err == nil && now != have {
 			select {
 			case r.changed <- struct{}{}:
 			case <-ctx.Done():
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -82,13 +82,20 @@
 	if err != nil {
 		return nil, err
 	}
+	pass, err := s.cfg.Guard.enter(ctx, q, u, s.newHolder())
+	if err != nil {
+		release(Result{Outcome: proto.OutcomeNotRun})
+		return nil, err
+	}
 	start := s.cfg.Clock()
 	if mayForward != nil && !mayForward() {
+		pass.leave(ctx, false, false)
 		release(Result{Outcome: proto.OutcomeNotRun})
 		return nil, proto.NotRun(proto.CodeNoLease, http.StatusServiceUnavailable,
 			"the routing lease ended while the request waited")
 	}
 	a, err := s.send(ctx, q, u, t.Assignment)
+	pass.leave(ctx, isBroken(ctx, err), err == nil)
 	r := Result{Outcome: proto.OutcomeDone, Elapsed: s.cfg.Clock() - start}
 	if err != nil {
 		r.Outcome, r.Shed = err.Outcome, err.Code == proto.CodeOverloaded
@@ -97,6 +104,11 @@
 	return a, err
 }
 
+// isBroken tells whether the upstream broke the connection, which a crash does.
+func isBroken(ctx context.Context, err *proto.Error) bool {
+	return err != nil && ctx.Err() == nil && (err.Code == proto.CodeConnectionLost || err.Code == proto.CodeTruncatedAnswer)
+}
+
 // send forwards the request once and reads the whole answer.
 func (s *Server) send(ctx context.Context, q *Request, u model.Upstream, a model.Assignment) (*Answer, *proto.Error) {
 	var wrote atomic.Bool
@@ -112,7 +124,7 @@
 		if !wrote.Load() {
 			return nil, proto.NotRun(proto.CodeUpstreamFailed, http.StatusBadGateway, "upstream %s can't be reached: %v", u.Name, err)
 		}
-		return nil, proto.Unknown(proto.CodeUpstreamFailed, "upstream %s failed: %v", u.Name, err)
+		return nil, proto.Unknown(proto.CodeConnectionLost, "the connection to upstream %s broke: %v", u.Name, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, s.cfg.MaxAnswerBytes+1))
--- /dev/null
+++ b/internal/entry/guard.go
@@ -0,0 +1,151 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"baobabreach/internal/model"
+	"baobabreach/internal/poison"
+	"baobabreach/pkg/proto"
+)
+
+// permitRetry is the time between two tries to get the exclusive run of watched content.
+const permitRetry = 10 * time.Millisecond
+
+// termShift separates the leader's term from the changes in the version of a list of suspects.
+const termShift = 32
+
+// GuardConfig configures a Guard.
+type GuardConfig struct {
+	Clock func() time.Duration
+	// Report tells the leader of a crash and returns once all entry hosts know.
+	Report func(ctx context.Context, r poison.Report) error
+	// Permit asks the leader for the exclusive run of watched content, or gives it back.
+	Permit func(ctx context.Context, q poison.PermitQuery) (bool, error)
+	Log    *slog.Logger
+}
+
+// Guard keeps requests that crash upstreams away from them. It is safe for concurrent use.
+type Guard struct {
+	cfg GuardConfig
+
+	mu    sync.Mutex
+	guard *poison.Guard
+}
+
+// NewGuard returns a guard that knows of no suspects.
+func NewGuard(cfg GuardConfig) *Guard {
+	return &Guard{cfg: cfg, guard: poison.NewGuard()}
+}
+
+// Version returns the version of the list of suspects in use.
+func (g *Guard) Version() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.guard.Version()
+}
+
+// Update takes the leader's list. A new leader gets the recent reports of this host again.
+func (g *Guard) Update(ctx context.Context, l poison.List) {
+	g.mu.Lock()
+	newLeader := l.Version>>termShift != g.guard.Version()>>termShift
+	again := g.guard.Update(g.cfg.Clock(), l, newLeader)
+	g.mu.Unlock()
+	for _, r := range again {
+		go g.report(ctx, r)
+	}
+}
+
+// admission is a request that the guard let through to an upstream.
+type admission struct {
+	guard       *Guard
+	process     poison.Process
+	fingerprint string
+	// holder is empty if the content is not watched.
+	holder string
+}
+
+// enter refuses quarantined content, waits for the exclusive run of watched content, and counts the request.
+func (g *Guard) enter(ctx context.Context, q *Request, u model.Upstream, holder string) (admission, *proto.Error) {
+	a := admission{
+		guard: g, process: poison.Process{Name: u.Name, Incarnation: u.Incarnation}, fingerprint: q.Fingerprint,
+	}
+	for {
+		g.mu.Lock()
+		v, left := g.guard.Check(g.cfg.Clock(), q.Fingerprint)
+		if v == poison.VerdictRun || (v == poison.VerdictIsolate && a.holder != "") {
+			g.guard.Begin(a.process, q.Fingerprint)
+			g.mu.Unlock()
+			return a, nil
+		}
+		g.mu.Unlock()
+		if v == poison.VerdictRefuse {
+			return a, quarantined(left)
+		}
+		ok, err := g.cfg.Permit(ctx, a.query(holder))
+		if err != nil {
+			return a, proto.NotRun(proto.CodeNoLeader, http.StatusServiceUnavailable, "the request can't be isolated: %v", err)
+		}
+		if ok {
+			a.holder = holder
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return a, proto.NotRun(proto.CodeDeadline, http.StatusServiceUnavailable, "the request waited for its isolated run")
+		case <-time.After(permitRetry):
+		}
+	}
+}
+
+func quarantined(left time.Duration) *proto.Error {
+	return proto.NotRun(proto.CodeQuarantined, http.StatusUnprocessableEntity,
+		"this request crashed two upstreams and is refused").WithRetryAfterMs(left.Milliseconds())
+}
+
+func (a admission) query(holder string) poison.PermitQuery {
+	return poison.PermitQuery{Upstream: a.process.Name, Fingerprint: a.fingerprint, Holder: holder}
+}
+
+// leave ends the request. A broken connection is reported before the caller gets its answer.
+func (a admission) leave(ctx context.Context, broken, finishedWell bool) {
+	g := a.guard
+	if broken {
+		g.mu.Lock()
+		r := g.guard.Broken(g.cfg.Clock(), a.process, a.fingerprint)
+		g.mu.Unlock()
+		g.report(ctx, r)
+	} else {
+		g.mu.Lock()
+		g.guard.End(a.process, a.fingerprint)
+		g.mu.Unlock()
+	}
+	if a.holder == "" {
+		return
+	}
+	q := a.query(a.holder)
+	q.Release, q.FinishedWell = true, finishedWell
+	go a.release(q)
+}
+
+func (a admission) release(q poison.PermitQuery) {
+	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+	defer cancel()
+	if _, err := a.guard.cfg.Permit(ctx, q); err != nil {
+		a.guard.cfg.Log.Warn("permit not given back", "error", err)
+	}
+}
+
+// reportTimeout bounds the delay of a retry while the leader or another entry host can't be reached.
+const reportTimeout = 500 * time.Millisecond
+
+func (g *Guard) report(ctx context.Context, r poison.Report) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reportTimeout)
+	defer cancel()
+	if err := g.cfg.Report(ctx, r); err != nil {
+		g.cfg.Log.Warn("crash not reported", "upstream", r.Process.Name, "error", err)
+	}
+}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -31,6 +31,7 @@
 	Propose func(ctx context.Context, c state.Command) (state.Result, error)
 	// Slots waits for a free slot of one of the upstreams. The returned function gives the slot back.
 	Slots          func(ctx context.Context, t Ticket) (model.Upstream, func(Result), *proto.Error)
+	Guard          *Guard
 	Client         *http.Client
 	Metrics        *metric.Registry
 	Log            *slog.Logger
@@ -118,7 +119,8 @@
 
 func retryable(c proto.Code) bool {
 	switch c {
-	case proto.CodeUpstreamFailed, proto.CodeStaleGrant, proto.CodeCrossedAnswer, proto.CodeTruncatedAnswer:
+	case proto.CodeUpstreamFailed, proto.CodeConnectionLost, proto.CodeStaleGrant,
+		proto.CodeCrossedAnswer, proto.CodeTruncatedAnswer:
 		return true
 	}
 	return false
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -60,8 +60,8 @@
 	n.ownerMu.Lock()
 	defer n.ownerMu.Unlock()
 	// The lease is checked after the receipt, so that the grant ends before a successor stops waiting for it.
-	if n.planner == nil || !n.leads(n.cfg.Clock()) {
-		return proto.Grant{}, n.notLeader()
+	if err := n.mustLead(); err != nil {
+		return proto.Grant{}, err
 	}
 	g, e := n.planner.Announce(received, n.model.Load(), a)
 	if e != nil {
@@ -74,27 +74,34 @@
 func (n *Node) Renew(received time.Duration, r owner.Renewal) (owner.Lease, error) {
 	n.ownerMu.Lock()
 	defer n.ownerMu.Unlock()
-	if n.planner == nil || !n.leads(n.cfg.Clock()) {
-		return owner.Lease{}, n.notLeader()
+	if err := n.mustLead(); err != nil {
+		return owner.Lease{}, err
 	}
-	return n.planner.Renew(received, n.model.Load(), r), nil
+	l := n.planner.Renew(received, n.model.Load(), r)
+	n.suspects.acknowledge(received, r)
+	if r.SuspectsVersion != n.suspects.board.Version(received) {
+		list := n.suspects.board.List(received)
+		l.Suspects = &list
+	}
+	return l, nil
 }
 
-// Watch returns once the state's version differs from version, or ctx ends.
-func (n *Node) Watch(ctx context.Context, version uint64) (uint64, error) {
+// Watch returns once the state's or the suspects' version differs from what the host has, or ctx ends.
+func (n *Node) Watch(ctx context.Context, have owner.Versions) (owner.Versions, error) {
 	for {
 		n.watchMu.Lock()
 		changed := n.changed
 		n.watchMu.Unlock()
 		if !n.leads(n.cfg.Clock()) {
-			return 0, n.notLeader()
+			return have, n.notLeader()
 		}
-		if v := n.model.Load().Version; v != version {
-			return v, nil
+		now := owner.Versions{Table: n.model.Load().Version, Suspects: n.suspectsVersion()}
+		if now != have {
+			return now, nil
 		}
 		select {
 		case <-ctx.Done():
-			return version, nil
+			return have, nil
 		case <-changed:
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -99,6 +99,8 @@
 	// planner is nil unless this replica leads term plannerTerm.
 	planner     *owner.Planner
 	plannerTerm uint64
+	// suspects is made anew with the planner.
+	suspects *suspects
 }
 
 // New returns a node with what the store held.
@@ -292,10 +294,7 @@
 		Commit: n.raft.Commit(), Last: n.raft.LastIndex(), Members: n.raft.Members(),
 	})
 	if old == nil || old.Version != n.state.Model().Version {
-		n.watchMu.Lock()
-		close(n.changed)
-		n.changed = make(chan struct{})
-		n.watchMu.Unlock()
+		n.wakeWatchers()
 	}
 }
 
@@ -319,6 +318,7 @@
 	}
 	if n.planner == nil || n.plannerTerm != n.raft.Term() {
 		n.planner, n.plannerTerm = owner.New(n.cfg.Planner, n.cfg.Clock()), n.raft.Term()
+		n.suspects = newSuspects(n.plannerTerm)
 		n.cfg.Log.Info("became leader", "term", n.plannerTerm)
 	}
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"baobabreach/internal/model"
+	"baobabreach/internal/poison"
 	"baobabreach/internal/route"
 	"baobabreach/internal/state"
 	"baobabreach/pkg/proto"
@@ -29,6 +30,14 @@
 	TableVersion uint64 `json:"table_version"`
 	// OldestVersion is the oldest table version that a keyed request in flight was routed by.
 	OldestVersion uint64 `json:"oldest_version"`
+	// SuspectsVersion is the version of the list of suspects in use.
+	SuspectsVersion uint64 `json:"suspects_version"`
+}
+
+// Versions tells what a host has of the leader's state.
+type Versions struct {
+	Table    uint64 `json:"table"`
+	Suspects uint64 `json:"suspects"`
 }
 
 // Lease answers a Renewal.
@@ -38,6 +47,8 @@
 	Version uint64         `json:"version"`
 	Table   *route.Table   `json:"table,omitempty"`
 	Daemons []route.Daemon `json:"daemons"`
+	// Suspects is nil if the host has the present list.
+	Suspects *poison.List `json:"suspects,omitempty"`
 }
 
 // Config configures a Planner.
--- a/internal/peer/leader.go
+++ b/internal/peer/leader.go
@@ -17,6 +17,8 @@
 	PathRenew    = "/control/v1/renew"
 	PathWatch    = "/control/v1/watch"
 	PathPropose  = "/control/v1/propose"
+	PathCrash    = "/control/v1/crash"
+	PathPermit   = "/control/v1/permit"
 )
 
 // LeaderClient sends messages to the leader and follows it when it changes. It is safe for concurrent use.
--- a/internal/poison/board.go
+++ b/internal/poison/board.go
@@ -170,3 +170,18 @@
 	}
 	delete(b.suspects, oldest)
 }
+
+// PermitQuery asks the leader for a permit, or gives it back.
+type PermitQuery struct {
+	Upstream    string `json:"upstream"`
+	Fingerprint string `json:"fingerprint"`
+	Holder      string `json:"holder"`
+	Release     bool   `json:"release,omitempty"`
+	// FinishedWell clears the content; set together with Release only.
+	FinishedWell bool `json:"finished_well,omitempty"`
+}
+
+// PermitAnswer answers a PermitQuery.
+type PermitAnswer struct {
+	Granted bool `json:"granted"`
+}
--- a/pkg/proto/error.go
+++ b/pkg/proto/error.go
@@ -28,6 +28,7 @@
 	CodeDeadline        Code = "deadline"
 	CodeStaleGrant      Code = "stale_grant"
 	CodeUpstreamFailed  Code = "upstream_failed"
+	CodeConnectionLost  Code = "connection_lost"
 	CodeCrossedAnswer   Code = "crossed_answer"
 	CodeTruncatedAnswer Code = "truncated_answer"
 	CodeInProgress      Code = "in_progress"
