Cut links between daemons in tests and count control traffic

The tests run six daemons and nine stand-ins in one process over real HTTP; a dial function per data centre loses what crosses a cut link. Seen failing: with data centre c cut off, unkeyed reads through its hosts are refused, since the limiter with own counts picks upstreams of other data centres and waits for the dial; with all three apart the same. The one-way cuts pass and no range was ever held twice.

--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -76,7 +76,7 @@
 	if err != nil {
 		return err
 	}
-	app := daemon.New(cfg)
+	app := daemon.New(cfg, daemon.NetDial)
 	if err := app.Err(); err != nil {
 		return errors.Wrap(err, "wire daemon")
 	}
--- /dev/null
+++ b/internal/daemon/cut_test.go
@@ -0,0 +1,89 @@
+package daemon_test
+
+import (
+	"crypto/rand"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"baobabreach/internal/claim"
+	"baobabreach/pkg/proto"
+)
+
+func newID() string {
+	var b [10]byte
+	_, _ = rand.Read(b[:])
+	return claim.NewID(time.Now().UnixMilli(), b[:])
+}
+
+// Guards against a data centre that is cut off and still runs keyed work, or that stops what it could serve.
+func TestOneDataCentreCutOff(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t)
+	f.network.cutBoth("c", "a")
+	f.network.cutBoth("c", "b")
+
+	f.eventually("the majority serves every key", func() bool { return f.servedEverywhere(f.hosts("a", "b")...) })
+	f.eventually("the cut-off side refuses every key as not run", func() bool {
+		return f.outcomes("catalogue", true, "c0", "c1")[proto.OutcomeNotRun] == 2*keyCount
+	})
+	is.Equal(f.outcomes("orders", false, "c0", "c1")[proto.OutcomeDone], 2) // unkeyed reads go on inside c
+	id := newID()
+	is.Equal(f.send("c0", http.MethodPost, "orders", "", id, "40 bobs").outcome, proto.OutcomeNotRun)
+	is.Equal(f.send("a0", http.MethodPost, "orders", "", id, "40 bobs").outcome, proto.OutcomeDone)
+	is.Equal(f.executions(id), 1)
+
+	f.network.heal()
+	f.eventually("every host serves every key again", func() bool { return f.servedEverywhere(f.hosts()...) })
+	is.Equal(f.send("c0", http.MethodPost, "orders", "", id, "40 bobs").outcome, proto.OutcomeDone)
+	is.Equal(f.executions(id), 1)
+	f.checkOwners()
+}
+
+// Guards against two data centres that each believe to be the majority, and against lost settings after the cut.
+func TestAllDataCentresApart(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t)
+	f.network.cutBoth("a", "b")
+	f.network.cutBoth("b", "c")
+	f.network.cutBoth("c", "a")
+
+	f.eventually("every host refuses every key as not run", func() bool {
+		return f.outcomes("catalogue", true, f.hosts()...)[proto.OutcomeNotRun] == keyCount*len(f.hosts())
+	})
+	f.eventually("unkeyed reads are served in each data centre", func() bool {
+		return f.outcomes("orders", false, f.hosts()...)[proto.OutcomeDone] == len(f.hosts())
+	})
+	id := newID()
+	is.Equal(f.send("b1", http.MethodPost, "orders", "", id, "deposit").outcome, proto.OutcomeNotRun)
+	is.Equal(f.executions(id), 0)
+
+	f.network.heal()
+	f.eventually("every host serves every key again", func() bool { return f.servedEverywhere(f.hosts()...) })
+	f.checkOwners()
+}
+
+// Guards against a leader that is heard by nobody and still acts, while its own data centre reaches it.
+func TestOneWayCutOfEachDataCentre(t *testing.T) {
+	f := startFleet(t)
+	for _, dc := range dataCentres {
+		for _, other := range dataCentres {
+			if other != dc {
+				f.network.cutOneWay(dc, other)
+			}
+		}
+		f.eventually("some other data centre serves every key", func() bool {
+			for _, other := range dataCentres {
+				if other != dc && f.servedEverywhere(f.hosts(other)...) {
+					return true
+				}
+			}
+			return false
+		})
+		f.network.heal()
+		f.eventually("every host serves every key again", func() bool { return f.servedEverywhere(f.hosts()...) })
+	}
+	f.checkOwners()
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -51,12 +51,22 @@
 	info atomic.Pointer[replicaInfo]
 }
 
+// Dial opens the connections of a daemon to other daemons and upstreams.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// NetDial dials over the network.
+func NetDial(ctx context.Context, network, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	c, err := d.DialContext(ctx, network, address)
+	return c, errs.Wrap(err, "dial")
+}
+
 // New returns the application of a daemon with checked settings.
-func New(cfg config.Config) *fx.App {
+func New(cfg config.Config, dial Dial) *fx.App {
 	return fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StopTimeout(cfg.BalancerDelay+cfg.StopTimeout+stopMargin),
-		fx.Supply(cfg),
+		fx.Supply(cfg, dial),
 		fx.Provide(
 			newLogger, newClock, newTokens, newClients, newLeaderClient, metric.New, route.NewView,
 			newReplica, newRenewer, newGuard, newEntry, newStopper, newServers,
@@ -126,15 +136,14 @@
 	dialTimeout           = 500 * time.Millisecond
 )
 
-func newClients() clients {
-	d := &net.Dialer{Timeout: dialTimeout}
+func newClients(dial Dial, m *metric.Registry) clients {
 	return clients{
 		control: &http.Client{Transport: &http.Transport{
-			DialContext: d.DialContext, MaxIdleConnsPerHost: maxIdlePerHost, IdleConnTimeout: idleConnectionTimeout,
+			DialContext: countedDial(dial, m), MaxIdleConnsPerHost: maxIdlePerHost, IdleConnTimeout: idleConnectionTimeout,
 		}},
 		upstream: &http.Client{
 			Transport: &http.Transport{
-				DialContext: d.DialContext, MaxIdleConnsPerHost: maxUpstreamConns, MaxConnsPerHost: maxUpstreamConns,
+				DialContext: dial, MaxIdleConnsPerHost: maxUpstreamConns, MaxConnsPerHost: maxUpstreamConns,
 				IdleConnTimeout: idleConnectionTimeout, DisableCompression: true,
 			},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
--- /dev/null
+++ b/internal/daemon/fleet_test.go
@@ -0,0 +1,267 @@
+package daemon_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/fx"
+
+	"baobabreach/internal/clock"
+	"baobabreach/internal/config"
+	"baobabreach/internal/daemon"
+	"baobabreach/internal/model"
+	"baobabreach/internal/stub"
+	"baobabreach/pkg/proto"
+)
+
+var dataCentres = []string{"a", "b", "c"}
+
+const (
+	hostsPerDC = 2
+	keyCount   = 40
+	// patience bounds every wait for a condition; no test asserts that something took less.
+	patience = 30 * time.Second
+	// basePort lies below the range from which the kernel picks local ports.
+	basePort = 25000
+)
+
+// fleet is a fleet of daemons and stand-in upstreams in one process, over loopback and a network that can be cut.
+type fleet struct {
+	t       *testing.T
+	network *network
+	callers map[string]string
+	apps    map[string]*fx.App
+	// upstreams is keyed by name.
+	upstreams map[string]*stub.Upstream
+	client    *http.Client
+	stop      context.CancelFunc
+	wait      sync.WaitGroup
+	overlaps  atomic.Pointer[string]
+}
+
+func startFleet(t *testing.T) *fleet {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &fleet{
+		t: t, network: newNetwork(), callers: map[string]string{}, apps: map[string]*fx.App{},
+		upstreams: map[string]*stub.Upstream{}, client: &http.Client{}, stop: cancel,
+	}
+	t.Cleanup(f.close)
+	for i, dc := range dataCentres {
+		for h := range hostsPerDC {
+			f.startDaemon(i, dc, h)
+		}
+	}
+	for i, dc := range dataCentres {
+		for n := range 2 {
+			f.startUpstream(ctx, fmt.Sprintf("cat-%s%d", dc, n), dc, "catalogue", basePort+500+i*10+n)
+		}
+		f.startUpstream(ctx, "ord-"+dc, dc, "orders", basePort+600+i)
+	}
+	f.wait.Add(1)
+	go f.watchOwners(ctx)
+	f.eventually("every key is served through every host", func() bool { return f.servedEverywhere(f.hosts()...) })
+	return f
+}
+
+func (f *fleet) startDaemon(i int, dc string, h int) {
+	host := fmt.Sprintf("%s%d", dc, h)
+	cfg := config.Config{
+		Host: host, DataCentre: dc, Caller: address(i, h, 0), Control: address(i, h, 1), Operator: address(i, h, 2),
+		LogLevel: "error", LogFormat: "text", MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20, MaxAnswerBytes: 1 << 20,
+		Policy: "local", MaxMoves: 8, StopTimeout: time.Second, Services: []model.Service{
+			{Name: "catalogue", Keyed: true, Ranges: 16, Class: model.ClassShort, OnCut: model.OnCutMajority, DeadlineMs: 1000},
+			{Name: "orders", Class: model.ClassShort, OnCut: model.OnCutMajority, DeadlineMs: 1000},
+		},
+	}
+	for j, d := range dataCentres {
+		cfg.Replicas = append(cfg.Replicas, config.Replica{Host: d + "0", Address: address(j, 0, 1)})
+	}
+	if h == 0 {
+		cfg.DataDir = f.t.TempDir()
+	}
+	f.network.place(cfg.Control, dc)
+	app := daemon.New(cfg, f.network.dialFrom(dc))
+	if err := app.Start(context.Background()); err != nil {
+		f.t.Fatal(err)
+	}
+	f.apps[host], f.callers[host] = app, cfg.Caller
+}
+
+func address(dc, host, part int) string {
+	return fmt.Sprintf("127.0.0.1:%d", basePort+dc*100+host*10+part)
+}
+
+func (f *fleet) startUpstream(ctx context.Context, name, dc, service string, port int) {
+	addr := fmt.Sprintf("127.0.0.1:%d", port)
+	f.network.place(addr, dc)
+	i := int(dc[0] - 'a')
+	u := stub.New(stub.Config{
+		Name: name, Address: addr, DataCentre: dc, Service: service, Slots: 3, Keyed: service == "catalogue",
+		Entries: []string{address(i, 0, 1), address(i, 1, 1)}, ChecksGrants: true, Incarnation: 1,
+		Clock: clock.SinceBoot, Client: &http.Client{Transport: &http.Transport{DialContext: f.network.dialFrom(dc)}},
+	})
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	s := &http.Server{Handler: u, ReadHeaderTimeout: time.Second}
+	go func() { _ = s.Serve(l) }()
+	f.t.Cleanup(func() { _ = s.Close() })
+	f.wait.Add(1)
+	go func() {
+		defer f.wait.Done()
+		u.Announce(ctx)
+	}()
+	f.upstreams[name] = u
+}
+
+func (f *fleet) close() {
+	f.stop()
+	f.network.heal()
+	f.wait.Wait()
+	for _, app := range f.apps {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		_ = app.Stop(ctx)
+		cancel()
+	}
+}
+
+// watchOwners samples the grants that the upstreams hold and records any range that two hold at once. The upstreams
+// share one clock and process, so a range seen twice in one sample and again right after was held twice at one moment.
+func (f *fleet) watchOwners(ctx context.Context) {
+	defer f.wait.Done()
+	for ctx.Err() == nil {
+		if twice := f.heldTwice(); twice != "" {
+			f.overlaps.Store(&twice)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (f *fleet) heldTwice() string {
+	holders := map[uint64]string{}
+	for name, u := range f.upstreams {
+		for _, h := range u.Held() {
+			other, ok := holders[h.Range]
+			if ok && f.holds(other, h.Range) && f.holds(name, h.Range) && f.holds(other, h.Range) {
+				return fmt.Sprintf("range %d is held by %s and %s", h.Range, other, name)
+			}
+			holders[h.Range] = name
+		}
+	}
+	return ""
+}
+
+func (f *fleet) holds(name string, id uint64) bool {
+	for _, h := range f.upstreams[name].Held() {
+		if h.Range == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *fleet) checkOwners() {
+	f.t.Helper()
+	if s := f.overlaps.Load(); s != nil {
+		f.t.Fatal(*s)
+	}
+}
+
+func (f *fleet) hosts(dcs ...string) []string {
+	if len(dcs) == 0 {
+		dcs = dataCentres
+	}
+	var out []string
+	for _, dc := range dcs {
+		for h := range hostsPerDC {
+			out = append(out, dc+strconv.Itoa(h))
+		}
+	}
+	return out
+}
+
+// answer is what a caller sees.
+type answer struct {
+	status  int
+	outcome proto.Outcome
+	body    string
+}
+
+func (f *fleet) get(host, service, key string) answer {
+	return f.send(host, http.MethodGet, service, key, "", "")
+}
+
+func (f *fleet) send(host, method, service, key, id, body string) answer {
+	f.t.Helper()
+	url := "http://" + f.callers[host] + "/s/" + service + "/x"
+	req, err := http.NewRequestWithContext(context.Background(), method, url, bytes.NewBufferString(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if key != "" {
+		req.Header.Set(proto.HeaderKey, key)
+	}
+	if id != "" {
+		req.Header.Set(proto.HeaderRequestID, id)
+	}
+	resp, err := f.client.Do(req)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return answer{status: resp.StatusCode, outcome: proto.Outcome(resp.Header.Get(proto.HeaderOutcome)), body: string(b)}
+}
+
+// outcomes sends one GET per key, or one without a key, through each host and counts the outcomes.
+func (f *fleet) outcomes(service string, keyed bool, hosts ...string) map[proto.Outcome]int {
+	out := map[proto.Outcome]int{}
+	for _, h := range hosts {
+		if !keyed {
+			out[f.get(h, service, "").outcome]++
+			continue
+		}
+		for k := range keyCount {
+			out[f.get(h, service, fmt.Sprintf("key-%d", k)).outcome]++
+		}
+	}
+	return out
+}
+
+func (f *fleet) servedEverywhere(hosts ...string) bool {
+	got := f.outcomes("catalogue", true, hosts...)
+	return got[proto.OutcomeDone] == keyCount*len(hosts)
+}
+
+// executions returns how often the order ran, over all upstreams.
+func (f *fleet) executions(id string) int {
+	n := 0
+	for _, u := range f.upstreams {
+		n += u.Runs()[id]
+	}
+	return n
+}
+
+func (f *fleet) eventually(what string, ok func() bool) {
+	f.t.Helper()
+	deadline := time.Now().Add(patience)
+	for !ok() {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("gave up waiting until %s", what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -63,7 +63,7 @@
 }
 
 // startListeners opens the three addresses.
-func startListeners(lc fx.Lifecycle, cfg config.Config, s servers, root *slog.Logger) {
+func startListeners(lc fx.Lifecycle, cfg config.Config, s servers, m *metric.Registry, root *slog.Logger) {
 	log := logs.Part(root, "listen")
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
@@ -79,6 +79,9 @@
 				if err != nil {
 					return errors.Wrapf(err, "listen for %s", x.name)
 				}
+				if x.server == s.control {
+					l = countedListener{Listener: l, metrics: m}
+				}
 				log.Info("listening", "part", x.name, "address", x.address)
 				go func() { _ = x.server.Serve(l) }()
 			}
--- /dev/null
+++ b/internal/daemon/network_test.go
@@ -0,0 +1,107 @@
+package daemon_test
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"baobabreach/internal/daemon"
+)
+
+// link is a direction between two sites of the network.
+type link struct{ from, to string }
+
+// network connects the daemons and upstreams of a test and can cut links. What is sent over a cut link is lost
+// without an error, as in a real partition.
+type network struct {
+	mu sync.Mutex
+	// sites maps addresses to sites; an unknown address is never cut off.
+	sites map[string]string
+	cut   map[link]bool
+}
+
+func newNetwork() *network {
+	return &network{sites: map[string]string{}, cut: map[link]bool{}}
+}
+
+func (n *network) place(address, site string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.sites[address] = site
+}
+
+// cutBoth cuts the links between two sites in both directions.
+func (n *network) cutBoth(a, b string) {
+	n.cutOneWay(a, b)
+	n.cutOneWay(b, a)
+}
+
+func (n *network) cutOneWay(from, to string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[link{from, to}] = true
+}
+
+func (n *network) heal() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	clear(n.cut)
+}
+
+func (n *network) isCut(from, to string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut[link{from, to}]
+}
+
+// dialFrom returns the dial function of a site.
+func (n *network) dialFrom(site string) daemon.Dial {
+	return func(ctx context.Context, proto, address string) (net.Conn, error) {
+		n.mu.Lock()
+		to := n.sites[address]
+		n.mu.Unlock()
+		if n.isCut(site, to) || n.isCut(to, site) {
+			// A lost SYN or SYN-ACK shows as a timeout, never as a refusal.
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		c, err := daemon.NetDial(ctx, proto, address)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{Conn: c, network: n, from: site, to: to}, nil
+	}
+}
+
+// conn loses what crosses a cut link. Once bytes were lost, the connection carries nothing more.
+type conn struct {
+	net.Conn
+	network  *network
+	from, to string
+
+	mu   sync.Mutex
+	lost bool
+}
+
+func (c *conn) loses(from, to string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lost = c.lost || c.network.isCut(from, to)
+	return c.lost
+}
+
+func (c *conn) Write(b []byte) (int, error) {
+	if c.loses(c.from, c.to) {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+func (c *conn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if err != nil || !c.loses(c.to, c.from) {
+			return n, err
+		}
+	}
+}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -35,7 +35,12 @@
 
 // Count adds one to the named counter.
 func (r *Registry) Count(name string) {
-	metrics.GetOrRegisterCounter(name, r.r).Inc(1)
+	r.Add(name, 1)
+}
+
+// Add adds n to the named counter.
+func (r *Registry) Add(name string, n int64) {
+	metrics.GetOrRegisterCounter(name, r.r).Inc(n)
 }
 
 // Gauge sets the named gauge.
--- a/internal/stub/stub.go
+++ b/internal/stub/stub.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"sync"
@@ -187,6 +188,27 @@
 	Bytes     int    `json:"bytes"`
 }
 
+// Held returns the fences that the upstream accepts at present.
+func (u *Upstream) Held() []proto.Fence {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.cfg.Clock() >= u.grantUntil {
+		return nil
+	}
+	out := make([]proto.Fence, 0, len(u.fences))
+	for r, e := range u.fences {
+		out = append(out, proto.Fence{Range: r, Epoch: e})
+	}
+	return out
+}
+
+// Runs returns the executions per request id.
+func (u *Upstream) Runs() map[string]int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return maps.Clone(u.runs)
+}
+
 // begin checks the grant and takes a slot.
 func (u *Upstream) begin(r *http.Request) (uint64, *proto.Error) {
 	u.mu.Lock()
