--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"strconv"
@@ -171,6 +172,9 @@
 func claimed(r *claim.Result) (*Answer, *proto.Error) {
 	switch r.Status {
 	case claim.StatusDone:
+		if r.Answer.Body == nil && r.Answer.BodyBytes > 0 {
+			return nil, notKept(r.Answer)
+		}
 		h := http.Header{"Content-Type": {r.Answer.ContentType}}
 		return &Answer{
 			Status: r.Answer.HTTPStatus, Header: h, Body: r.Answer.Body,
@@ -188,6 +192,14 @@
 	return nil, e
 }
 
+// notKept answers a resend of a request that ran but whose answer was too large to keep.
+func notKept(a *claim.Answer) *proto.Error {
+	return &proto.Error{
+		Code: proto.CodeAnswerNotKept, Status: http.StatusConflict, Outcome: proto.OutcomeDone,
+		Message: fmt.Sprintf("the request ran with status %d; its answer of %d bytes was not kept", a.HTTPStatus, a.BodyBytes),
+	}
+}
+
 func recorded(a *Answer) claim.Answer {
 	c := claim.Answer{
 		HTTPStatus: a.Status, ContentType: a.Header.Get("Content-Type"), Upstream: a.Upstream, BodyBytes: len(a.Body),
--- a/pkg/proto/error.go
+++ b/pkg/proto/error.go
@@ -32,6 +32,7 @@
 	CodeCrossedAnswer   Code = "crossed_answer"
 	CodeTruncatedAnswer Code = "truncated_answer"
 	CodeInProgress      Code = "in_progress"
+	CodeAnswerNotKept   Code = "answer_not_kept"
 	CodeQuarantined     Code = "quarantined"
 	CodeUnauthorized    Code = "unauthorized"
 	CodeNotFound        Code = "not_found"
