--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"baobabreach/internal/admit"
+	"baobabreach/internal/audit"
 	"baobabreach/internal/config"
 	"baobabreach/internal/entry"
 	"baobabreach/internal/errs"
@@ -57,7 +58,7 @@
 		fx.Supply(cfg),
 		fx.Provide(
 			newLogger, newClock, newTokens, newClients, newLeaderClient, metric.New, route.NewView,
-			newReplica, newRenewer, newEntry, newStopper, newServers,
+			newReplica, newRenewer, newEntry, newStopper, newServers, newAudit,
 		),
 		fx.Invoke(startListeners, startReplica, startRenewer, startDrain),
 	)
@@ -149,6 +150,8 @@
 	return peer.NewLeaderClient(c.control, t.control, as)
 }
 
+func newAudit(cfg config.Config) *audit.Ring { return audit.New(cfg.Host, audit.DefaultSize) }
+
 func newReplica() *replica { return &replica{} }
 
 func newRenewer(cfg config.Config, v *route.View, l *peer.LeaderClient, clock Clock, log *slog.Logger) *renewer {
@@ -162,11 +165,13 @@
 const claimTryTimeout = time.Second
 
 func newEntry(
-	cfg config.Config, v *route.View, l *peer.LeaderClient, c clients, m *metric.Registry, clock Clock, log *slog.Logger,
+	cfg config.Config, v *route.View, l *peer.LeaderClient, c clients, m *metric.Registry, ring *audit.Ring, clock Clock,
+	log *slog.Logger,
 ) *entry.Server {
 	local := admit.NewLocal()
 	return entry.New(entry.Config{
 		Host: cfg.Host, DataCentre: cfg.DataCentre, View: v, Clock: clock, Client: c.upstream, Metrics: m,
+		Audit: ring,
 		Log: logs.Part(log, "entry"), MaxBodyBytes: cfg.MaxBodyBytes, MaxAnswerBytes: cfg.MaxAnswerBytes,
 		Propose: func(ctx context.Context, cmd state.Command) (state.Result, error) {
 			rs, err := peer.ToLeaderUntil[[]state.Command, []state.Result](ctx, l, peer.PathPropose, claimTryTimeout,
@@ -202,7 +207,8 @@
 }
 
 func startReplica(
-	lc fx.Lifecycle, sd fx.Shutdowner, cfg config.Config, r *replica, c clients, t tokens, clock Clock, log *slog.Logger,
+	lc fx.Lifecycle, sd fx.Shutdowner, cfg config.Config, r *replica, c clients, t tokens, ring *audit.Ring, clock Clock,
+	log *slog.Logger,
 ) error {
 	if !cfg.IsReplica() {
 		return nil
@@ -227,7 +233,7 @@
 		n, err := node.New(node.Config{
 			Self: self, Store: st, Loaded: loaded, Members: ms, Random: rand.Int64N, Clock: clock,
 			Send: newSender(ctx, c.control, t.control).send, Log: log,
-			Planner: owner.Config{MaxMoves: cfg.MaxMoves}, InitialSet: cfg.Services,
+			Planner: owner.Config{MaxMoves: cfg.MaxMoves}, InitialSet: cfg.Services, Audit: ring,
 		})
 		if err != nil {
 			return errors.Wrap(err, "start replica")
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"baobabreach/internal/audit"
 	"baobabreach/internal/claim"
 	"baobabreach/internal/metric"
 	"baobabreach/internal/model"
@@ -33,6 +34,8 @@
 	Slots          func(ctx context.Context, t Ticket) (model.Upstream, func(Result), *proto.Error)
 	Client         *http.Client
 	Metrics        *metric.Registry
+	// Audit keeps the outcome of each request; nil keeps none.
+	Audit          *audit.Ring
 	Log            *slog.Logger
 	MaxBodyBytes   int64
 	MaxAnswerBytes int64
@@ -76,6 +79,7 @@
 	start := s.cfg.Clock()
 	q, perr := s.parse(w, r)
 	if perr != nil {
+		s.record(&q, nil, perr)
 		s.cfg.Metrics.Count("refused." + string(perr.Code))
 		peer.WriteError(w, perr.WithRequestID(q.ID))
 		return
@@ -84,6 +88,7 @@
 	defer cancel()
 	a, perr := s.run(ctx, &q)
 	elapsed := s.cfg.Clock() - start
+	s.record(&q, a, perr)
 	if perr != nil {
 		s.cfg.Metrics.Observe(q.Tenant, q.Class, perr.Outcome, elapsed)
 		s.cfg.Metrics.Count("refused." + string(perr.Code))
--- /dev/null
+++ b/internal/intent/intent.go
@@ -0,0 +1,240 @@
+// Package intent validates the changes that operators ask for, plans their effects and decides confirmations. It is
+// part of the replicated state machine: the same intent and state always give the same plan.
+package intent
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"baobabreach/internal/claim"
+	"baobabreach/internal/model"
+	"baobabreach/pkg/proto"
+)
+
+// Codes of refusals that only operators see.
+const (
+	// CodeIntentReused refuses an intent id that was used for another intent.
+	CodeIntentReused proto.Code = "intent_id_reused"
+	// CodeIntentExpired refuses an id whose result is no longer kept, so it can't be told whether it was executed.
+	CodeIntentExpired proto.Code = "intent_expired"
+	// CodeNotSupported refuses an intent whose command does not exist yet.
+	CodeNotSupported proto.Code = "not_supported"
+)
+
+// Limits of the fields of an intent.
+const (
+	MaxRanges     = 65_536
+	MaxDeadlineMs = 24 * 60 * 60 * 1000
+	MaxPerSecond  = 1 << 30
+	maxNameBytes  = 64
+	maxKeyBytes   = 512
+)
+
+// Intent is one change asked for by an operator. Exactly one of the pointers is set.
+type Intent struct {
+	// ID is a UUIDv7 in lower case, chosen by the operator's client. A resend carries the same ID.
+	ID string `json:"id"`
+	// Operator names who asks; it does not grant access.
+	Operator string      `json:"operator"`
+	Service  *Service    `json:"service,omitempty"`
+	Keyed    *Keyed      `json:"keyed,omitempty"`
+	Drain    *Upstream   `json:"drain,omitempty"`
+	Return   *Upstream   `json:"return,omitempty"`
+	StopDC   *DataCentre `json:"stop_dc,omitempty"`
+	ReturnDC *DataCentre `json:"return_dc,omitempty"`
+	Limit    *Limit      `json:"limit,omitempty"`
+	Split    *Split      `json:"split,omitempty"`
+	Members  *Members    `json:"members,omitempty"`
+}
+
+// Service creates a service or changes the fields that are set.
+type Service struct {
+	Name       string       `json:"name"`
+	Idempotent *bool        `json:"idempotent,omitempty"`
+	Class      *model.Class `json:"class,omitempty"`
+	OnCut      *model.OnCut `json:"on_cut,omitempty"`
+	DeadlineMs *int64       `json:"deadline_ms,omitempty"`
+}
+
+// Keyed divides an existing service by key.
+type Keyed struct {
+	Service string `json:"service"`
+	// Ranges is the number of ranges; 0 means model.DefaultRanges.
+	Ranges int `json:"ranges,omitempty"`
+}
+
+// Upstream names the upstream to drain or return.
+type Upstream struct {
+	Name string `json:"name"`
+}
+
+// DataCentre names the data centre to stop or return.
+type DataCentre struct {
+	Name string `json:"name"`
+}
+
+// Limit sets the rate of one tenant in one class; a rate of 0 removes the limit.
+type Limit struct {
+	Tenant    string      `json:"tenant"`
+	Class     model.Class `json:"class"`
+	PerSecond float64     `json:"per_second"`
+}
+
+// Split moves one key into a range of its own.
+type Split struct {
+	Service string `json:"service"`
+	Key     string `json:"key"`
+}
+
+// Members adds or removes one replica by host.
+type Members struct {
+	Add    string `json:"add,omitempty"`
+	Remove string `json:"remove,omitempty"`
+}
+
+// sameContent tells whether two intents ask for the same change, whoever asks.
+func sameContent(a, b Intent) bool {
+	a.ID, a.Operator, b.ID, b.Operator = "", "", "", ""
+	x, errX := json.Marshal(a)
+	y, errY := json.Marshal(b)
+	return errX == nil && errY == nil && string(x) == string(y)
+}
+
+// CheckForm checks what can be checked without the state. Errors have the outcome not_run.
+func CheckForm(in Intent) *proto.Error {
+	if err := CheckID(in.ID); err != nil {
+		return err
+	}
+	if !isName(in.Operator) {
+		return bad("operator: expected a name of letters, digits, '.', '-' and '_'")
+	}
+	n := 0
+	for _, set := range []bool{
+		in.Service != nil, in.Keyed != nil, in.Drain != nil, in.Return != nil, in.StopDC != nil,
+		in.ReturnDC != nil, in.Limit != nil, in.Split != nil, in.Members != nil,
+	} {
+		if set {
+			n++
+		}
+	}
+	if n != 1 {
+		return bad("expected exactly one change, found %d", n)
+	}
+	return checkFields(in)
+}
+
+// CheckID checks the form of an intent id. IDs in one case only keep their order equal to that of their times.
+func CheckID(id string) *proto.Error {
+	if _, err := claim.IDTime(id); err != nil || id != strings.ToLower(id) {
+		return bad("id: expected a UUIDv7 in lower case")
+	}
+	return nil
+}
+
+func checkFields(in Intent) *proto.Error {
+	switch {
+	case in.Service != nil:
+		return checkService(*in.Service)
+	case in.Keyed != nil && (in.Keyed.Ranges < 0 || in.Keyed.Ranges > MaxRanges):
+		return bad("ranges: expected a number from 1 to %d", MaxRanges)
+	case in.Limit != nil:
+		return checkLimit(*in.Limit)
+	case in.Split != nil && (in.Split.Key == "" || len(in.Split.Key) > maxKeyBytes):
+		return bad("key: expected 1 to %d bytes", maxKeyBytes)
+	case in.Members != nil && (in.Members.Add == "") == (in.Members.Remove == ""):
+		return bad("members: expected either add or remove")
+	}
+	return nil
+}
+
+func checkService(v Service) *proto.Error {
+	switch {
+	case !isName(v.Name):
+		return bad("name: expected a name of letters, digits, '.', '-' and '_'")
+	case v.Class != nil && !isClass(*v.Class):
+		return bad("class: expected short or long")
+	case v.OnCut != nil && *v.OnCut != model.OnCutMajority && *v.OnCut != model.OnCutHome:
+		return bad("on_cut: expected majority or home")
+	case v.DeadlineMs != nil && (*v.DeadlineMs < 1 || *v.DeadlineMs > MaxDeadlineMs):
+		return bad("deadline_ms: expected a number from 1 to %d", MaxDeadlineMs)
+	}
+	return nil
+}
+
+func checkLimit(l Limit) *proto.Error {
+	switch {
+	case !isName(l.Tenant):
+		return bad("tenant: expected a name of letters, digits, '.', '-' and '_'")
+	case !isClass(l.Class):
+		return bad("class: expected short or long")
+	case !(l.PerSecond >= 0 && l.PerSecond <= MaxPerSecond):
+		return bad("per_second: expected a number from 0 to %d", MaxPerSecond)
+	}
+	return nil
+}
+
+// Validate checks an intent of valid form against the state.
+func Validate(in Intent, s *model.State) *proto.Error {
+	if err := CheckForm(in); err != nil {
+		return err
+	}
+	switch {
+	case in.Keyed != nil:
+		v, ok := s.Services[in.Keyed.Service]
+		if ok && v.Keyed {
+			return bad("service %s is keyed already; its ranges can't be changed this way", v.Name)
+		}
+		return known(ok, "service", in.Keyed.Service)
+	case in.Drain != nil:
+		_, ok := s.Upstreams[in.Drain.Name]
+		return known(ok || s.Drained[in.Drain.Name], "upstream", in.Drain.Name)
+	case in.Return != nil:
+		_, ok := s.Upstreams[in.Return.Name]
+		return known(ok || s.Drained[in.Return.Name], "upstream", in.Return.Name)
+	case in.StopDC != nil:
+		return known(hasDC(s, in.StopDC.Name), "data centre", in.StopDC.Name)
+	case in.ReturnDC != nil:
+		return known(hasDC(s, in.ReturnDC.Name), "data centre", in.ReturnDC.Name)
+	case in.Split != nil:
+		if _, ok := s.Services[in.Split.Service]; !ok {
+			return known(false, "service", in.Split.Service)
+		}
+		return notSupported("the command that splits a range does not exist yet")
+	case in.Members != nil:
+		return notSupported("replicas can't join or leave a running group yet")
+	}
+	return nil
+}
+
+// hasDC tells whether the state knows the data centre: by an upstream in it, or because it is stopped.
+func hasDC(s *model.State, name string) bool {
+	for _, u := range s.Upstreams {
+		if u.DataCentre == name {
+			return true
+		}
+	}
+	return s.StoppedDCs[name]
+}
+
+func known(ok bool, what, name string) *proto.Error {
+	if ok {
+		return nil
+	}
+	return proto.NotRun(proto.CodeNotFound, http.StatusNotFound, "%s %q is not known", what, name)
+}
+
+func bad(format string, args ...any) *proto.Error {
+	return proto.NotRun(proto.CodeBadRequest, http.StatusBadRequest, format, args...)
+}
+
+func notSupported(why string) *proto.Error {
+	return proto.NotRun(CodeNotSupported, http.StatusNotImplemented, "%s", why)
+}
+
+func isClass(c model.Class) bool { return c == model.ClassShort || c == model.ClassLong }
+
+func isName(s string) bool {
+	return s != "" && len(s) <= maxNameBytes &&
+		strings.Trim(s, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789.-_") == ""
+}
--- /dev/null
+++ b/internal/node/audit.go
@@ -0,0 +1,62 @@
+package node
+
+import (
+	"time"
+
+	"baobabreach/internal/audit"
+	"baobabreach/internal/model"
+	"baobabreach/internal/state"
+)
+
+// record keeps the planner's commands for explain. Whether a command is applied is seen in the state.
+func (n *Node) record(cs []state.Command, s *model.State) {
+	now := time.Now()
+	for _, c := range cs {
+		if d, ok := decision(c, s); ok {
+			n.cfg.Audit.Record(now, d)
+		}
+	}
+}
+
+func decision(c state.Command, s *model.State) (audit.Decision, bool) {
+	switch {
+	case c.Assign != nil:
+		d := ofRange(s, c.Assign.Range)
+		d.Kind, d.Upstream, d.Epoch = audit.KindAssign, c.Assign.Owner, c.Assign.Epoch
+		d.Reason = "the range has no owner and this upstream owns the fewest ranges"
+		return d, true
+	case c.Release != nil:
+		d := ofRange(s, c.Release.Range)
+		d.Kind, d.Epoch = audit.KindRelease, c.Release.Epoch
+		d.Reason = releaseReason(s, d.Upstream)
+		return d, true
+	case c.Register != nil:
+		return audit.Decision{
+			Kind: audit.KindRegister, Service: c.Register.Service, Upstream: c.Register.Name, Reason: "the upstream announced itself",
+		}, true
+	case c.Remove != nil:
+		return audit.Decision{
+			Kind: audit.KindRemove, Service: s.Upstreams[c.Remove.Name].Service, Upstream: c.Remove.Name,
+			Reason: "the upstream's last grant has ended without a new announcement",
+		}, true
+	}
+	return audit.Decision{}, false
+}
+
+func ofRange(s *model.State, id uint64) audit.Decision {
+	d := audit.Decision{Range: id}
+	if i, ok := s.RangeByID(id); ok {
+		d.Service, d.Upstream = s.Ranges[i].Service, s.Ranges[i].Owner
+	}
+	return d
+}
+
+func releaseReason(s *model.State, owner string) string {
+	switch {
+	case s.Drained[owner]:
+		return "an operator drained the owner"
+	case s.StoppedDCs[s.Upstreams[owner].DataCentre]:
+		return "an operator stopped the owner's data centre"
+	}
+	return "the owner is leaving, or another upstream owns at least two ranges fewer"
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"baobabreach/internal/audit"
 	"baobabreach/internal/errs"
 	"baobabreach/internal/model"
 	"baobabreach/internal/owner"
@@ -44,6 +45,8 @@
 	Log        *slog.Logger
 	Planner    owner.Config
 	InitialSet []model.Service
+	// Audit keeps the planner's decisions; nil keeps none.
+	Audit *audit.Ring
 }
 
 type proposal struct {
@@ -339,6 +342,7 @@
 	if len(cs) == 0 {
 		return
 	}
+	n.record(cs, n.state.Model())
 	n.planning = true
 	p := proposal{commands: cs, done: make(chan outcome, 1)}
 	go func() {
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -7,6 +7,7 @@
 
 	"baobabreach/internal/claim"
 	"baobabreach/internal/errs"
+	"baobabreach/internal/intent"
 	"baobabreach/internal/model"
 
 	"github.com/go-faster/errors"
@@ -22,6 +23,8 @@
 	Claim    *Claim          `json:"claim,omitempty"`
 	Abandon  *Abandon        `json:"abandon,omitempty"`
 	Outcome  *Outcome        `json:"outcome,omitempty"`
+	Plan     *PlanIntent     `json:"plan,omitempty"`
+	Confirm  *ConfirmIntent  `json:"confirm,omitempty"`
 }
 
 // Remove forgets an upstream whose grant has ended; its ranges become free.
@@ -71,22 +74,26 @@
 	// Applied is false if the state had moved past the command.
 	Applied bool          `json:"applied"`
 	Claim   *claim.Result `json:"claim,omitempty"`
+	// Intent is the result of a plan or a confirmation.
+	Intent *intent.Result `json:"intent,omitempty"`
 }
 
 // Machine holds the present state. It is not safe for concurrent use; the model it returns is immutable.
 type Machine struct {
-	model  *model.State
-	claims *claim.Table
+	model   *model.State
+	claims  *claim.Table
+	intents *intent.Table
 }
 
 type snapshot struct {
-	Model  *model.State `json:"model"`
-	Claims *claim.Table `json:"claims"`
+	Model   *model.State  `json:"model"`
+	Claims  *claim.Table  `json:"claims"`
+	Intents *intent.Table `json:"intents"`
 }
 
 // New returns an empty state machine.
 func New() *Machine {
-	return &Machine{model: model.NewState(), claims: claim.NewTable()}
+	return &Machine{model: model.NewState(), claims: claim.NewTable(), intents: intent.NewTable()}
 }
 
 // Model returns the present model.
@@ -97,17 +104,17 @@
 
 // Snapshot encodes the whole state.
 func (m *Machine) Snapshot() ([]byte, error) {
-	b, err := json.Marshal(snapshot{Model: m.model, Claims: m.claims})
+	b, err := json.Marshal(snapshot{Model: m.model, Claims: m.claims, Intents: m.intents})
 	return b, errs.Wrap(err, "encode snapshot")
 }
 
 // Restore replaces the state by a snapshot.
 func (m *Machine) Restore(b []byte) error {
-	s := snapshot{Model: model.NewState(), Claims: claim.NewTable()}
+	s := snapshot{Model: model.NewState(), Claims: claim.NewTable(), Intents: intent.NewTable()}
 	if err := json.Unmarshal(b, &s); err != nil {
 		return errors.Wrap(err, "decode snapshot")
 	}
-	m.model, m.claims = s.Model, s.Claims
+	m.model, m.claims, m.intents = s.Model, s.Claims, s.Intents
 	return nil
 }
 
@@ -126,7 +133,7 @@
 	before := m.model
 	rs := make([]Result, len(cs))
 	for i, c := range cs {
-		rs[i] = m.apply(c)
+		rs[i] = m.apply(c, index)
 	}
 	if m.model != before {
 		m.model = m.model.WithVersion(index)
@@ -134,7 +141,7 @@
 	return rs, nil
 }
 
-func (m *Machine) apply(c Command) Result {
+func (m *Machine) apply(c Command, index uint64) Result {
 	switch {
 	case c.Claim != nil:
 		r := m.claims.Claim(c.Claim.ID, c.Claim.Fingerprint, c.Claim.Holder, c.Claim.NowMs)
@@ -155,6 +162,10 @@
 		return m.release(*c.Release)
 	case c.Service != nil:
 		return m.change(m.model.WithService(*c.Service))
+	case c.Plan != nil:
+		return m.planIntent(*c.Plan)
+	case c.Confirm != nil:
+		return m.confirmIntent(*c.Confirm, index)
 	}
 	return Result{}
 }
