--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -10,6 +10,8 @@
 	"baobabreach/internal/config"
 	"baobabreach/internal/daemon"
 	"baobabreach/internal/errs"
+	"baobabreach/internal/intent"
+	"baobabreach/pkg/proto"
 
 	"github.com/alecthomas/kong"
 	"github.com/go-faster/errors"
@@ -22,10 +24,16 @@
 const (
 	exitFailure = 1
 	exitUsage   = 2
+	// exitOutdated tells that another change was accepted first: plan again.
+	exitOutdated = 3
 )
 
 type cli struct {
 	Serve   serveCmd   `cmd:"" help:"Run a daemon."`
+	Plan    planCmd    `cmd:"" help:"Plan a change; nothing changes until it is confirmed."`
+	Confirm confirmCmd `cmd:"" help:"Execute a plan."`
+	Status  statusCmd  `cmd:"" help:"Show services, owners, moves, replicas and daemons."`
+	Explain explainCmd `cmd:"" help:"Show why a request, key or upstream was treated as it was."`
 	Check   checkCmd   `cmd:"" help:"Check a settings file without starting."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
@@ -37,7 +45,7 @@
 	k, err := kong.New(&c, kong.Name("baobabreach"),
 		kong.Description("A router for upstreams that own keys exclusively."),
 		kong.Writers(stdout, stderr), kong.Exit(func(status int) { exited = status }),
-		kong.BindTo(stdout, (*io.Writer)(nil)),
+		kong.BindTo(stdout, (*io.Writer)(nil)), kong.Vars{"user": operatorName()},
 	)
 	if err != nil {
 		_, _ = fmt.Fprintln(stderr, "baobabreach:", err)
@@ -58,11 +66,23 @@
 	return 0
 }
 
+// operatorName is the default name in the record of changes.
+func operatorName() string {
+	if u := os.Getenv("USER"); u != "" {
+		return u
+	}
+	return "operator"
+}
+
 func exitStatus(err error) int {
 	var p config.Problems
 	if errors.As(err, &p) {
 		return exitUsage
 	}
+	var r *intent.Refusal
+	if errors.As(err, &r) && (r.Code == proto.CodeConflict || r.Code == proto.CodeStalePlan) {
+		return exitOutdated
+	}
 	return exitFailure
 }
 
--- /dev/null
+++ b/internal/cmds/plan.go
@@ -0,0 +1,217 @@
+package cmds
+
+import (
+	"crypto/rand"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"baobabreach/internal/claim"
+	"baobabreach/internal/intent"
+	"baobabreach/internal/model"
+	"baobabreach/internal/opapi"
+)
+
+// asker names who asks.
+type asker struct {
+	target
+	As string `default:"${user}" help:"Name of the operator in the record."`
+}
+
+// planFlags are shared by all plans.
+type planFlags struct {
+	asker
+	ID string `name:"id" help:"Intent id (UUIDv7) of an earlier try, to get its first result."`
+}
+
+type planCmd struct {
+	Service  planServiceCmd  `cmd:"" help:"Create a service or change the given fields."`
+	Keyed    planKeyedCmd    `cmd:"" help:"Divide a service by key."`
+	Drain    planDrainCmd    `cmd:"" help:"Take an upstream out of service."`
+	Return   planReturnCmd   `cmd:"" help:"Return a drained upstream."`
+	StopDC   planStopDCCmd   `cmd:"" name:"stop-dc" help:"Take a data centre's upstreams out of service."`
+	ReturnDC planReturnDCCmd `cmd:"" name:"return-dc" help:"Return a stopped data centre."`
+	Limit    planLimitCmd    `cmd:"" help:"Set or remove the rate limit of a tenant in a class."`
+	Split    planSplitCmd    `cmd:"" help:"Move one key into a range of its own."`
+	Members  planMembersCmd  `cmd:"" help:"Add or remove a replica."`
+}
+
+// Help shows examples.
+func (planCmd) Help() string {
+	return `Examples:
+  baobabreach plan drain catalogue-3 --operator 10.0.0.1:7102 --token-file op.token
+  baobabreach plan limit night-partner long 40
+  baobabreach plan service orders --deadline 3s --no-idempotent
+  baobabreach confirm 0193a1c2-6c00-7abc-8def-0123456789ab`
+}
+
+func (f planFlags) run(out io.Writer, in intent.Intent) error {
+	in.ID, in.Operator = f.ID, f.As
+	if in.ID == "" {
+		var b [10]byte
+		_, _ = rand.Read(b[:])
+		in.ID = claim.NewID(time.Now().UnixMilli(), b[:])
+		// The id is known before the answer, so that a lost answer can be asked for again.
+		_, _ = fmt.Fprintln(os.Stderr, "intent", in.ID)
+	}
+	p, err := call[intent.Plan](f.target, http.MethodPost, opapi.PathPlan, in)
+	if err != nil {
+		return refuse(out, f.JSON, err)
+	}
+	return show(out, f.JSON, p, func(w io.Writer) { printPlan(w, p) })
+}
+
+func printPlan(w io.Writer, p intent.Plan) {
+	row(w, "plan", p.ID)
+	row(w, "revision", p.Revision)
+	for _, c := range p.Changes {
+		row(w, "change", c)
+	}
+	for _, e := range p.Effects {
+		row(w, "affects", fmt.Sprintf("%s: %.1f%% of keys, %.1f%% of requests (%.1f/s at %s), %d moves",
+			e.Service, 100*e.KeyShare, 100*e.RequestShare, e.RequestsPerSecond, p.MeasuredBy, e.Moves))
+	}
+	row(w, "moves", p.Moves)
+	row(w, "expected time", time.Duration(p.ExpectedMs)*time.Millisecond)
+	for _, x := range p.Warnings {
+		row(w, "warning", x)
+	}
+	row(w, "next", "baobabreach confirm "+p.ID)
+}
+
+type planServiceCmd struct {
+	planFlags
+	Name       string         `arg:"" help:"Service."`
+	Idempotent *bool          `negatable:"" help:"Every method may be repeated."`
+	Class      *model.Class   `enum:"short,long" help:"short or long."`
+	OnCut      *model.OnCut   `enum:"majority,home" help:"majority or home."`
+	Deadline   *time.Duration `help:"Default deadline, such as 2s."`
+}
+
+// Run plans the intent.
+func (c planServiceCmd) Run(out io.Writer) error {
+	v := intent.Service{Name: c.Name, Idempotent: c.Idempotent, Class: c.Class, OnCut: c.OnCut}
+	if c.Deadline != nil {
+		ms := c.Deadline.Milliseconds()
+		v.DeadlineMs = &ms
+	}
+	return c.run(out, intent.Intent{Service: &v})
+}
+
+type planKeyedCmd struct {
+	planFlags
+	Service string `arg:"" help:"Service."`
+	Ranges  int    `help:"Number of ranges; 64 if not set."`
+}
+
+// Run plans the intent.
+func (c planKeyedCmd) Run(out io.Writer) error {
+	return c.run(out, intent.Intent{Keyed: &intent.Keyed{Service: c.Service, Ranges: c.Ranges}})
+}
+
+type planDrainCmd struct {
+	planFlags
+	Upstream string `arg:"" help:"Upstream."`
+}
+
+// Run plans the intent.
+func (c planDrainCmd) Run(out io.Writer) error {
+	return c.run(out, intent.Intent{Drain: &intent.Upstream{Name: c.Upstream}})
+}
+
+type planReturnCmd struct {
+	planFlags
+	Upstream string `arg:"" help:"Upstream."`
+}
+
+// Run plans the intent.
+func (c planReturnCmd) Run(out io.Writer) error {
+	return c.run(out, intent.Intent{Return: &intent.Upstream{Name: c.Upstream}})
+}
+
+type planStopDCCmd struct {
+	planFlags
+	DataCentre string `arg:"" help:"Data centre."`
+}
+
+// Run plans the intent.
+func (c planStopDCCmd) Run(out io.Writer) error {
+	return c.run(out, intent.Intent{StopDC: &intent.DataCentre{Name: c.DataCentre}})
+}
+
+type planReturnDCCmd struct {
+	planFlags
+	DataCentre string `arg:"" help:"Data centre."`
+}
+
+// Run plans the intent.
+func (c planReturnDCCmd) Run(out io.Writer) error {
+	return c.run(out, intent.Intent{ReturnDC: &intent.DataCentre{Name: c.DataCentre}})
+}
+
+type planLimitCmd struct {
+	planFlags
+	Tenant    string      `arg:"" help:"Tenant."`
+	Class     model.Class `arg:"" enum:"short,long" help:"short or long."`
+	PerSecond float64     `arg:"" help:"Requests per second over all hosts; 0 removes the limit."`
+}
+
+// Run plans the intent.
+func (c planLimitCmd) Run(out io.Writer) error {
+	return c.run(out, intent.Intent{Limit: &intent.Limit{Tenant: c.Tenant, Class: c.Class, PerSecond: c.PerSecond}})
+}
+
+type planSplitCmd struct {
+	planFlags
+	Service string `arg:"" help:"Keyed service."`
+	Key     string `arg:"" help:"Key."`
+}
+
+// Run plans the intent.
+func (c planSplitCmd) Run(out io.Writer) error {
+	return c.run(out, intent.Intent{Split: &intent.Split{Service: c.Service, Key: c.Key}})
+}
+
+type planMembersCmd struct {
+	planFlags
+	Add    string `xor:"change" required:"" help:"Host whose replica joins."`
+	Remove string `xor:"change" required:"" help:"Host whose replica leaves."`
+}
+
+// Run plans the intent.
+func (c planMembersCmd) Run(out io.Writer) error {
+	return c.run(out, intent.Intent{Members: &intent.Members{Add: c.Add, Remove: c.Remove}})
+}
+
+type confirmCmd struct {
+	asker
+	ID string `arg:"" help:"Id of the plan."`
+}
+
+// Help shows examples.
+func (confirmCmd) Help() string {
+	return `A resend returns the first result. Exit status 3: another change was accepted first; plan again.
+
+Examples:
+  baobabreach confirm 0193a1c2-6c00-7abc-8def-0123456789ab --operator 10.0.0.1:7102`
+}
+
+// Run confirms the plan.
+func (c confirmCmd) Run(out io.Writer) error {
+	r, err := call[intent.Confirmation](c.target, http.MethodPost, opapi.PathConfirm,
+		opapi.Confirmation{ID: c.ID, Operator: c.As})
+	if err != nil {
+		return refuse(out, c.JSON, err)
+	}
+	return show(out, c.JSON, r, func(w io.Writer) {
+		row(w, "confirmed", r.IntentID)
+		row(w, "operator", r.Operator)
+		row(w, "revision", r.Revision)
+		row(w, "in force at table version", r.Version)
+		for _, x := range r.Changes {
+			row(w, "change", x)
+		}
+	})
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -172,7 +172,7 @@
 	return entry.New(entry.Config{
 		Host: cfg.Host, DataCentre: cfg.DataCentre, View: v, Clock: clock, Client: c.upstream, Metrics: m,
 		Audit: ring,
-		Log: logs.Part(log, "entry"), MaxBodyBytes: cfg.MaxBodyBytes, MaxAnswerBytes: cfg.MaxAnswerBytes,
+		Log:   logs.Part(log, "entry"), MaxBodyBytes: cfg.MaxBodyBytes, MaxAnswerBytes: cfg.MaxAnswerBytes,
 		Propose: func(ctx context.Context, cmd state.Command) (state.Result, error) {
 			rs, err := peer.ToLeaderUntil[[]state.Command, []state.Result](ctx, l, peer.PathPropose, claimTryTimeout,
 				[]state.Command{cmd})
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"baobabreach/internal/audit"
 	"baobabreach/internal/config"
 	"baobabreach/internal/entry"
 	"baobabreach/internal/errs"
@@ -45,6 +46,8 @@
 	Metrics *metric.Registry
 	Clock   Clock
 	Tokens  tokens
+	Clients clients
+	Audit   *audit.Ring
 }
 
 // servers are the HTTP servers of the three addresses.
@@ -156,6 +159,7 @@
 func controlRouter(p listenerParams) http.Handler {
 	return control{
 		node: p.Replica.node.Load, leader: p.Leader, clock: p.Clock, token: p.Tokens.control,
+		operate: newOperate(p),
 		info: func() (replicaInfo, bool) {
 			if i := p.Replica.info.Load(); i != nil {
 				return *i, true
@@ -170,6 +174,8 @@
 	m.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		peer.WriteJSON(w, http.StatusOK, p.Metrics.All())
 	}).Methods(http.MethodGet)
+	newOperate(p).server().Mount(m)
 	m.NotFoundHandler = notFound()
+	m.MethodNotAllowedHandler = notFound()
 	return requireToken(p.Tokens.operator, m)
 }
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -31,9 +31,9 @@
 	// Propose commits one command on the leader, retrying until ctx ends.
 	Propose func(ctx context.Context, c state.Command) (state.Result, error)
 	// Slots waits for a free slot of one of the upstreams. The returned function gives the slot back.
-	Slots          func(ctx context.Context, t Ticket) (model.Upstream, func(Result), *proto.Error)
-	Client         *http.Client
-	Metrics        *metric.Registry
+	Slots   func(ctx context.Context, t Ticket) (model.Upstream, func(Result), *proto.Error)
+	Client  *http.Client
+	Metrics *metric.Registry
 	// Audit keeps the outcome of each request; nil keeps none.
 	Audit          *audit.Ring
 	Log            *slog.Logger
--- a/internal/intent/table.go
+++ b/internal/intent/table.go
@@ -1,7 +1,6 @@
 package intent
 
 import (
-	"fmt"
 	"net/http"
 	"sort"
 
@@ -29,9 +28,12 @@
 	Changes  []string `json:"changes"`
 }
 
+// typed is embedded under a name of its own, because a field named Error would hide the method.
+type typed = proto.Error
+
 // Refusal is a typed error with what an operator needs to decide again.
 type Refusal struct {
-	proto.Error
+	typed
 	// Winner is the first change that was accepted after the plan's revision.
 	Winner *Change `json:"winner,omitempty"`
 	// Changes lists the changes since the plan's revision, oldest first; Omitted counts those no longer kept.
@@ -189,11 +191,11 @@
 		out.Winner = &w
 	}
 	if revision == p.Revision+1 && out.Winner != nil {
-		out.Error = *proto.NotRun(proto.CodeConflict, http.StatusConflict,
+		out.typed = *proto.NotRun(proto.CodeConflict, http.StatusConflict,
 			"intent %s of %s was confirmed first on revision %d", out.Winner.IntentID, out.Winner.Operator, p.Revision)
 		return out
 	}
-	out.Error = *proto.NotRun(proto.CodeStalePlan, http.StatusConflict,
+	out.typed = *proto.NotRun(proto.CodeStalePlan, http.StatusConflict,
 		"the plan is based on revision %d, the settings are at %d", p.Revision, revision)
 	return out
 }
@@ -203,9 +205,4 @@
 		"the result of intent %s is no longer kept; this request changed nothing", id)
 }
 
-func refused(err *proto.Error) Result { return Result{Refusal: &Refusal{Error: *err}} }
-
-// String names the refusal with the winner, if there is one.
-func (r *Refusal) String() string {
-	return fmt.Sprintf("%s: %s", r.Code, r.Message)
-}
+func refused(err *proto.Error) Result { return Result{Refusal: &Refusal{typed: *err}} }
--- a/internal/node/query.go
+++ b/internal/node/query.go
@@ -36,7 +36,8 @@
 	}
 	rs, err := n.Propose(ctx, []state.Command{c})
 	if err != nil {
-		return state.Result{}, proto.Unknown(proto.CodeNoLeader, "the leader lost its majority before the command was committed: %v", err)
+		return state.Result{}, proto.Unknown(proto.CodeNoLeader,
+			"the leader lost its majority before the command was committed: %v", err)
 	}
 	return rs[0], nil
 }
--- /dev/null
+++ b/internal/opapi/fleet.go
@@ -0,0 +1,152 @@
+package opapi
+
+import (
+	"math"
+	"sort"
+
+	"baobabreach/internal/model"
+	"baobabreach/internal/node"
+	"baobabreach/internal/owner"
+)
+
+// Fleet is the leader's view of the fleet, without single ranges other than those that move.
+type Fleet struct {
+	Leader    string             `json:"leader"`
+	Term      uint64             `json:"term"`
+	Revision  uint64             `json:"revision"`
+	Version   uint64             `json:"version"`
+	Services  []ServiceStatus    `json:"services"`
+	Upstreams []UpstreamStatus   `json:"upstreams"`
+	Moves     []model.Assignment `json:"moves"`
+	// MovesOmitted counts the moves beyond maxMovesShown.
+	MovesOmitted int                `json:"moves_omitted"`
+	StoppedDCs   []string           `json:"stopped_dcs"`
+	Limits       []model.Limit      `json:"limits"`
+	Daemons      []owner.HostStatus `json:"daemons"`
+}
+
+// maxMovesShown bounds the answer while a whole service is without owners.
+const maxMovesShown = 100
+
+// ServiceStatus is one service with the owners of its hash space.
+type ServiceStatus struct {
+	model.Service
+	// Upstreams is the number of live upstreams that accept new work.
+	Upstreams int `json:"upstreams"`
+	Free      int `json:"free"`
+	Releasing int `json:"releasing"`
+	// Owners is sorted by name; empty for a service without keys.
+	Owners []OwnerShare `json:"owners"`
+}
+
+// OwnerShare is the part of the hash space that one upstream holds.
+type OwnerShare struct {
+	Upstream string `json:"upstream"`
+	Ranges   int    `json:"ranges"`
+	// Share is the share of the hash space, from 0 to 1.
+	Share float64 `json:"share"`
+}
+
+// UpstreamStatus is one registered upstream.
+type UpstreamStatus struct {
+	model.Upstream
+	// Live is false once the last grant has ended without a new announcement.
+	Live bool `json:"live"`
+	// Drained and DCStopped are set by operators, Draining by the upstream itself.
+	Drained   bool `json:"drained"`
+	DCStopped bool `json:"dc_stopped"`
+	Draining  bool `json:"draining"`
+	Ranges    int  `json:"ranges"`
+}
+
+// ReplicaStatus is one replica as it answers itself.
+type ReplicaStatus struct {
+	Host    string `json:"host"`
+	Address string `json:"address"`
+	// Error tells why the replica gave no status; the other fields are then zero.
+	Error  string `json:"error,omitempty"`
+	Role   string `json:"role,omitempty"`
+	Term   uint64 `json:"term,omitempty"`
+	Leader string `json:"leader,omitempty"`
+	Commit uint64 `json:"commit,omitempty"`
+	// Lag is the number of committed entries that the replica has not applied, against the furthest replica.
+	Lag uint64 `json:"lag"`
+}
+
+// NewFleet summarizes the leader's view.
+func NewFleet(o node.Overview, st node.Status) Fleet {
+	s := o.State
+	f := Fleet{
+		Leader: st.Host, Term: st.Term, Revision: s.Revision, Version: s.Version, Daemons: o.Hosts,
+		StoppedDCs: keys(s.StoppedDCs), Moves: []model.Assignment{}, Services: []ServiceStatus{},
+		Upstreams: []UpstreamStatus{}, Limits: []model.Limit{},
+	}
+	ranges := map[string]int{}
+	for _, a := range s.Ranges {
+		ranges[a.Owner]++
+		if a.Phase == model.PhaseHeld {
+			continue
+		}
+		if len(f.Moves) == maxMovesShown {
+			f.MovesOmitted++
+			continue
+		}
+		f.Moves = append(f.Moves, a)
+	}
+	for _, name := range keys(s.Upstreams) {
+		u := s.Upstreams[name]
+		draining, live := o.Live[name]
+		f.Upstreams = append(f.Upstreams, UpstreamStatus{
+			Upstream: u, Live: live, Drained: s.Drained[name], DCStopped: s.StoppedDCs[u.DataCentre],
+			Draining: draining, Ranges: ranges[name],
+		})
+	}
+	for _, name := range keys(s.Services) {
+		f.Services = append(f.Services, serviceStatus(s, f.Upstreams, s.Services[name]))
+	}
+	for _, k := range keys(s.Limits) {
+		f.Limits = append(f.Limits, s.Limits[k])
+	}
+	return f
+}
+
+func serviceStatus(s *model.State, us []UpstreamStatus, v model.Service) ServiceStatus {
+	out := ServiceStatus{Service: v, Owners: []OwnerShare{}}
+	for _, u := range us {
+		if u.Service == v.Name && u.Live && !u.Drained && !u.DCStopped && !u.Draining {
+			out.Upstreams++
+		}
+	}
+	owners := map[string]OwnerShare{}
+	for _, a := range s.Ranges {
+		if a.Service != v.Name {
+			continue
+		}
+		switch a.Phase {
+		case model.PhaseFree:
+			out.Free++
+			continue
+		case model.PhaseReleasing:
+			out.Releasing++
+		case model.PhaseHeld:
+		}
+		o := owners[a.Owner]
+		o.Upstream = a.Owner
+		o.Ranges++
+		o.Share += (float64(a.Last-a.First) + 1) / math.Exp2(64)
+		owners[a.Owner] = o
+	}
+	for _, name := range keys(owners) {
+		out.Owners = append(out.Owners, owners[name])
+	}
+	return out
+}
+
+func keys[V any](m map[string]V) []string {
+	out := make([]string, 0, len(m))
+	for k := range m {
+		out = append(out, k)
+	}
+	sort.Strings(out)
+	return out
+}
