--- a/internal/state/intent.go
+++ b/internal/state/intent.go
@@ -27,5 +27,5 @@
 	return Result{Applied: r.Confirmation != nil, Intent: &r}
 }
 
-// IntentCount returns the number of intents whose results are held.
-func (m *Machine) IntentCount() int { return len(m.intents.Records) }
+// Intents returns the results of the latest intents. It must not be changed.
+func (m *Machine) Intents() *intent.Table { return m.intents }
