--- a/internal/cmds/client.go
+++ b/internal/cmds/client.go
@@ -24,7 +24,7 @@
 
 // target is the daemon that a command talks to. Any daemon will do.
 type target struct {
-	Operator  string `default:"127.0.0.1:7102" env:"BAOBABREACH_OPERATOR" help:"Operator address of a daemon." placeholder:"ADDR"`
+	Operator  string `default:"127.0.0.1:7102" env:"BAOBABREACH_OPERATOR" help:"Operator IP:port of a daemon."`
 	TokenFile string `env:"BAOBABREACH_TOKEN_FILE" help:"File with the operator token, mode 0600." type:"path"`
 	JSON      bool   `name:"json" help:"Print JSON for programs."`
 }
--- a/internal/daemon/operate.go
+++ b/internal/daemon/operate.go
@@ -132,11 +132,11 @@
 		default:
 			return r, err
 		}
-		select {
-		case <-ctx.Done():
+		// A try that is cut short while it connects could not be told from one that was sent.
+		if end, ok := ctx.Deadline(); ctx.Err() != nil || (ok && time.Until(end) < dialTimeout+intentRetryPause) {
 			return r, noLeader(mayHaveRun, err)
-		case <-time.After(intentRetryPause):
 		}
+		time.Sleep(intentRetryPause)
 	}
 }
 
--- /dev/null
+++ b/internal/daemon/operate_export_test.go
@@ -0,0 +1,32 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+
+	"baobabreach/internal/config"
+	"baobabreach/internal/peer"
+	"baobabreach/internal/route"
+	"baobabreach/internal/state"
+)
+
+// ReadToken reads a token file.
+var ReadToken = readToken
+
+// Routers returns the caller and operator routers of a daemon without a replica.
+func Routers(token string) (callers, operators http.Handler) {
+	p := listenerParams{
+		Config: config.Config{Host: "a1"}, Stopper: newStopper(), Replica: newReplica(), View: route.NewView(),
+		Tokens: tokens{operator: token}, Clients: newClients(),
+		Leader: peer.NewLeaderClient(http.DefaultClient, "", []string{"127.0.0.1:1"}),
+	}
+	return callerRouter(p), operatorRouter(p)
+}
+
+// ProposeTo commits an operator's command on the given replica.
+func ProposeTo(ctx context.Context, address string, c state.Command) error {
+	client := newClients().control
+	o := operate{leader: peer.NewLeaderClient(client, "", []string{address}), client: client}
+	_, err := o.propose(ctx, c)
+	return err
+}
