--- a/internal/cmds/query.go
+++ b/internal/cmds/query.go
@@ -74,9 +74,9 @@
 	for _, l := range f.Limits {
 		row(w, l.Tenant, l.Class, l.PerSecond)
 	}
-	row(w, "\nDAEMON", "DATA CENTRE", "LEASED", "TABLE VERSION", "BEHIND")
+	row(w, "\nDAEMON", "DATA CENTRE", "LEASED", "REVISION", "TABLE VERSION", "BEHIND")
 	for _, d := range f.Daemons {
-		row(w, d.Host, d.DataCentre, d.Leased, d.TableVersion, f.Version-min(f.Version, d.TableVersion))
+		row(w, d.Host, d.DataCentre, d.Leased, d.Revision, d.TableVersion, f.Version-min(f.Version, d.TableVersion))
 	}
 }
 
--- a/internal/daemon/renew.go
+++ b/internal/daemon/renew.go
@@ -54,9 +54,10 @@
 
 func (r *renewer) renew(ctx context.Context) error {
 	present, oldest := r.view.Versions()
+	table, _ := r.view.Table()
 	sentAt := r.clock()
 	l, err := peer.ToLeader[owner.Renewal, owner.Lease](ctx, r.leader, peer.PathRenew, renewTimeout,
-		owner.Renewal{Daemon: r.self, TableVersion: present, OldestVersion: oldest})
+		owner.Renewal{Daemon: r.self, TableVersion: present, OldestVersion: oldest, Revision: table.Revision})
 	if err != nil {
 		return err
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -29,6 +29,8 @@
 	TableVersion uint64 `json:"table_version"`
 	// OldestVersion is the oldest table version that a keyed request in flight was routed by.
 	OldestVersion uint64 `json:"oldest_version"`
+	// Revision is the settings revision of the table, for operators' queries.
+	Revision uint64 `json:"revision"`
 }
 
 // Lease answers a Renewal.
@@ -60,6 +62,8 @@
 	leasedUntil time.Duration
 	// oldest is the oldest table version that the host may still use.
 	oldest uint64
+	// revision is the settings revision that new requests use.
+	revision uint64
 }
 
 // Planner is not safe for concurrent use.
@@ -160,6 +164,7 @@
 		p.hosts[r.Daemon.Host] = h
 	}
 	h.daemon, h.oldest = r.Daemon, min(r.TableVersion, r.OldestVersion)
+	h.revision = r.Revision
 	h.leasedUntil = now + proto.WithDrift(LeaseTTL)
 	l := Lease{TTLMs: LeaseTTL.Milliseconds(), Version: s.Version, Daemons: p.daemons(now)}
 	if r.TableVersion != s.Version {
--- a/internal/owner/query.go
+++ b/internal/owner/query.go
@@ -12,6 +12,7 @@
 	route.Daemon
 	// TableVersion is the oldest table version that the host may still use.
 	TableVersion uint64 `json:"table_version"`
+	Revision     uint64 `json:"revision"`
 	// Leased is false for a host whose routing lease has ended: it is cut off or stopped.
 	Leased bool `json:"leased"`
 }
@@ -20,7 +21,9 @@
 func (p *Planner) Hosts(now time.Duration) []HostStatus {
 	out := make([]HostStatus, 0, len(p.hosts))
 	for _, h := range p.hosts {
-		out = append(out, HostStatus{Daemon: h.daemon, TableVersion: h.oldest, Leased: now < h.leasedUntil})
+		out = append(out, HostStatus{
+			Daemon: h.daemon, TableVersion: h.oldest, Revision: h.revision, Leased: now < h.leasedUntil,
+		})
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Host < out[j].Host })
 	return out
