--- /dev/null
+++ b/internal/entry/audit_test.go
@@ -0,0 +1,66 @@
+package entry_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/matryer/is"
+
+	"baobabreach/internal/audit"
+	"baobabreach/internal/entry"
+	"baobabreach/internal/metric"
+	"baobabreach/internal/model"
+	"baobabreach/internal/route"
+	"baobabreach/pkg/proto"
+)
+
+// Guards against requests that explain can't find: refused before they were routed, refused later, or answered.
+func TestEveryOutcomeIsRecorded(t *testing.T) {
+	is := is.New(t)
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(proto.HeaderRequestID, r.Header.Get(proto.HeaderRequestID))
+	}))
+	defer upstream.Close()
+	u := model.Upstream{Name: "u1", Incarnation: 1, Service: "catalogue", Address: upstream.Listener.Addr().String()}
+	m := model.NewState().WithService(model.Service{
+		Name: "catalogue", Keyed: true, Ranges: 1, Class: model.ClassShort, DeadlineMs: 1000,
+	}).WithUpstream(u)
+	a := m.Ranges[0]
+	a.Owner, a.Incarnation, a.Phase, a.Epoch = "u1", 1, model.PhaseHeld, 5
+	view := route.NewView()
+	ring := audit.New("a1", 16)
+	now := time.Duration(0)
+	s := entry.New(entry.Config{
+		Host: "a1", View: view, Clock: func() time.Duration { return now }, Client: upstream.Client(), Metrics: metric.New(),
+		Audit: ring, MaxBodyBytes: 1 << 10, MaxAnswerBytes: 1 << 10,
+		Slots: func(context.Context, entry.Ticket) (model.Upstream, func(entry.Result), *proto.Error) {
+			return u, func(entry.Result) {}, nil
+		},
+	})
+	router := mux.NewRouter()
+	router.Handle("/s/{service}", s)
+	view.Update(0, time.Second, route.NewTable(m.WithRange(a).WithVersion(1)), nil)
+	ask := func(key string) audit.Decision {
+		r := httptest.NewRequest(http.MethodGet, "/s/catalogue", nil)
+		r.Header.Set(proto.HeaderKey, key)
+		w := httptest.NewRecorder()
+		router.ServeHTTP(w, r)
+		ds := ring.Find(audit.Query{RequestID: w.Header().Get(proto.HeaderRequestID), Limit: 2})
+		is.Equal(len(ds), 1)
+		return ds[0]
+	}
+	d := ask("")
+	is.Equal(d.Code, proto.CodeMissingKey)
+	d = ask("silk")
+	is.Equal(d.Kind, audit.KindRouted)
+	is.Equal(d.Upstream, "u1")
+	is.Equal(d.Epoch, uint64(5))
+	now = 2 * time.Second // The routing lease has ended.
+	d = ask("silk")
+	is.Equal(d.Code, proto.CodeNoLease)
+	is.Equal(d.Upstream, "u1")
+}
--- a/internal/intent/table.go
+++ b/internal/intent/table.go
@@ -130,7 +130,7 @@
 		ids = append(ids, id)
 	}
 	sort.Strings(ids)
-	// An eighth at a time keeps the cost of sorting low.
+	// An eighth at a time keeps the cost of sorting low, so that 896 to 1,024 results are kept.
 	for _, id := range ids[:MaxRecords/8] {
 		delete(t.Records, id)
 		t.Horizon = max(t.Horizon, id)
