--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -25,6 +25,8 @@
 	clock  func() time.Duration
 	info   func() (replicaInfo, bool)
 	token  string
+	// operate serves what other daemons ask on behalf of operators.
+	operate operate
 }
 
 func (c control) router() http.Handler {
@@ -37,6 +39,7 @@
 	m.Handle(peer.PathPropose, peer.Handle(peer.MaxBodyBytes, c.propose)).Methods(http.MethodPost)
 	m.Handle(peer.PathCrash, peer.Handle(peer.MaxBodyBytes, c.crash)).Methods(http.MethodPost)
 	m.Handle(peer.PathPermit, peer.Handle(peer.MaxBodyBytes, c.permit)).Methods(http.MethodPost)
+	c.operate.mountControl(m)
 	m.NotFoundHandler = notFound()
 	m.MethodNotAllowedHandler = notFound()
 	return requireToken(c.token, m)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"baobabreach/internal/admit"
+	"baobabreach/internal/audit"
 	"baobabreach/internal/clock"
 	"baobabreach/internal/config"
 	"baobabreach/internal/entry"
@@ -69,7 +70,7 @@
 		fx.Supply(cfg, dial),
 		fx.Provide(
 			newLogger, newClock, newTokens, newClients, newLeaderClient, metric.New, route.NewView,
-			newReplica, newRenewer, newGuard, newEntry, newStopper, newServers,
+			newReplica, newRenewer, newGuard, newEntry, newStopper, newServers, newAudit,
 		),
 		fx.Invoke(startListeners, startReplica, startRenewer, startDrain),
 	)
@@ -159,6 +160,8 @@
 	return peer.NewLeaderClient(c.control, t.control, as)
 }
 
+func newAudit(cfg config.Config) *audit.Ring { return audit.New(cfg.Host, audit.DefaultSize) }
+
 func newReplica() *replica { return &replica{} }
 
 func newRenewer(
@@ -192,13 +195,13 @@
 
 func newEntry(
 	cfg config.Config, v *route.View, l *peer.LeaderClient, c clients, g *entry.Guard, m *metric.Registry,
-	now Clock, log *slog.Logger,
+	ring *audit.Ring, now Clock, log *slog.Logger,
 ) *entry.Server {
 	local := admit.NewLocal()
 	return entry.New(entry.Config{
 		Host: cfg.Host, DataCentre: cfg.DataCentre, View: v, Clock: now, Guard: g, Client: c.upstream,
-		Metrics: m,
-		Log:     logs.Part(log, "entry"), MaxBodyBytes: cfg.MaxBodyBytes, MaxAnswerBytes: cfg.MaxAnswerBytes,
+		Metrics: m, Audit: ring,
+		Log: logs.Part(log, "entry"), MaxBodyBytes: cfg.MaxBodyBytes, MaxAnswerBytes: cfg.MaxAnswerBytes,
 		Propose: func(ctx context.Context, cmd state.Command) (state.Result, error) {
 			rs, err := peer.ToLeaderUntil[[]state.Command, []state.Result](ctx, l, peer.PathPropose, claimTryTimeout,
 				[]state.Command{cmd})
@@ -233,7 +236,8 @@
 }
 
 func startReplica(
-	lc fx.Lifecycle, sd fx.Shutdowner, cfg config.Config, r *replica, c clients, t tokens, now Clock, log *slog.Logger,
+	lc fx.Lifecycle, sd fx.Shutdowner, cfg config.Config, r *replica, c clients, t tokens, ring *audit.Ring, now Clock,
+	log *slog.Logger,
 ) error {
 	if !cfg.IsReplica() {
 		return nil
@@ -259,7 +263,7 @@
 			Self: self, Store: st, Loaded: loaded, Members: ms, Random: rand.Int64N, Clock: now,
 			WallMs: func() int64 { return time.Now().UnixMilli() },
 			Send:   newSender(ctx, c.control, t.control).send, Log: log,
-			Planner: owner.Config{MaxMoves: cfg.MaxMoves}, InitialSet: cfg.Services,
+			Planner: owner.Config{MaxMoves: cfg.MaxMoves}, InitialSet: cfg.Services, Audit: ring,
 		})
 		if err != nil {
 			return errors.Wrap(err, "start replica")
--- a/internal/entry/guard.go
+++ b/internal/entry/guard.go
@@ -21,9 +21,9 @@
 // GuardConfig configures a Guard.
 type GuardConfig struct {
 	Clock func() time.Duration
-	// Report tells the leader of a crash and returns once all entry hosts know.
+	// Report tells the leader of a crash and returns once all entry hosts know. Nil tells nobody.
 	Report func(ctx context.Context, r poison.Report) error
-	// Permit asks the leader for the exclusive run of watched content, or gives it back.
+	// Permit asks the leader for the exclusive run of watched content, or gives it back. Nil grants all.
 	Permit func(ctx context.Context, q poison.PermitQuery) (bool, error)
 	Log    *slog.Logger
 }
@@ -38,6 +38,12 @@
 
 // NewGuard returns a guard that knows of no suspects.
 func NewGuard(cfg GuardConfig) *Guard {
+	if cfg.Report == nil {
+		cfg.Report = func(context.Context, poison.Report) error { return nil }
+	}
+	if cfg.Permit == nil {
+		cfg.Permit = func(context.Context, poison.PermitQuery) (bool, error) { return true, nil }
+	}
 	return &Guard{cfg: cfg, guard: poison.NewGuard()}
 }
 
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"baobabreach/internal/audit"
 	"baobabreach/internal/claim"
 	"baobabreach/internal/metric"
 	"baobabreach/internal/model"
@@ -31,10 +32,13 @@
 	// Propose commits one command on the leader, retrying until ctx ends.
 	Propose func(ctx context.Context, c state.Command) (state.Result, error)
 	// Slots waits for a free slot of one of the upstreams. The returned function gives the slot back.
-	Slots          func(ctx context.Context, t Ticket) (model.Upstream, func(Result), *proto.Error)
-	Guard          *Guard
-	Client         *http.Client
-	Metrics        *metric.Registry
+	Slots func(ctx context.Context, t Ticket) (model.Upstream, func(Result), *proto.Error)
+	// Guard keeps requests that crash upstreams away; nil makes one that knows of no other host.
+	Guard   *Guard
+	Client  *http.Client
+	Metrics *metric.Registry
+	// Audit keeps the outcome of each request; nil keeps none.
+	Audit          *audit.Ring
 	Log            *slog.Logger
 	MaxBodyBytes   int64
 	MaxAnswerBytes int64
@@ -70,6 +74,9 @@
 
 // New returns a server.
 func New(cfg Config) *Server {
+	if cfg.Guard == nil {
+		cfg.Guard = NewGuard(GuardConfig{Clock: cfg.Clock, Log: cfg.Log})
+	}
 	return &Server{cfg: cfg}
 }
 
@@ -78,6 +85,7 @@
 	start := s.cfg.Clock()
 	q, perr := s.parse(w, r)
 	if perr != nil {
+		s.record(&q, nil, perr)
 		s.cfg.Metrics.Count("refused." + string(perr.Code))
 		peer.WriteError(w, perr.WithRequestID(q.ID))
 		return
@@ -86,6 +94,7 @@
 	defer cancel()
 	a, perr := s.run(ctx, &q)
 	elapsed := s.cfg.Clock() - start
+	s.record(&q, a, perr)
 	if perr != nil {
 		s.cfg.Metrics.Observe(q.Tenant, q.Class, perr.Outcome, elapsed)
 		s.cfg.Metrics.Count("refused." + string(perr.Code))
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -32,6 +32,8 @@
 	OldestVersion uint64 `json:"oldest_version"`
 	// SuspectsVersion is the version of the list of suspects in use.
 	SuspectsVersion uint64 `json:"suspects_version"`
+	// Revision is the settings revision of the table, for operators' queries.
+	Revision uint64 `json:"revision"`
 }
 
 // Versions tells what a host has of the leader's state.
@@ -71,6 +73,8 @@
 	leasedUntil time.Duration
 	// oldest is the oldest table version that the host may still use.
 	oldest uint64
+	// revision is the settings revision that new requests use.
+	revision uint64
 }
 
 // Planner is not safe for concurrent use.
@@ -171,6 +175,7 @@
 		p.hosts[r.Daemon.Host] = h
 	}
 	h.daemon, h.oldest = r.Daemon, min(r.TableVersion, r.OldestVersion)
+	h.revision = r.Revision
 	h.leasedUntil = now + proto.WithDrift(LeaseTTL)
 	l := Lease{TTLMs: LeaseTTL.Milliseconds(), Version: s.Version, Daemons: p.daemons(now)}
 	if r.TableVersion != s.Version {
