Leave a tombstone when a claim is abandoned

A host that could not commit its claim answered not_run, but the claim could still be committed later and block the id: every resend then got unknown. The host now abandons the claim, and an abandoned holder that arrives late gets nothing. Only the last abandoned holder is remembered; an earlier one that arrives later still blocks the id, which is safe and answered unknown.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -49,6 +49,8 @@
 	Fingerprint string  `json:"fingerprint"`
 	Holder      string  `json:"holder"`
 	Answer      *Answer `json:"answer,omitempty"`
+	// Abandoned is true once Holder promised never to send; the id is free for any other holder and content.
+	Abandoned bool `json:"abandoned,omitempty"`
 }
 
 // Result is what a command returned.
@@ -75,13 +77,15 @@
 // Claim asks for the right to send the request. The same holder gets the same answer again.
 func (t *Table) Claim(id, fingerprint, holder string, nowMs int64) Result {
 	t.advance(nowMs)
-	at, err := IDTime(id)
-	if err != nil || at < t.NowMs-Retention.Milliseconds() || at > t.NowMs+maxSkew.Milliseconds() {
+	if !t.judges(id) {
 		return Result{Status: StatusExpired}
 	}
 	r, ok := t.Records[id]
 	switch {
-	case !ok:
+	case ok && r.Abandoned && r.Holder == holder:
+		// The claim was overtaken by its own abandonment.
+		return Result{Status: StatusHeld, Holder: holder}
+	case !ok || r.Abandoned:
 		t.Records[id] = Record{Fingerprint: fingerprint, Holder: holder}
 		return Result{Status: StatusGranted, Holder: holder}
 	case r.Fingerprint != fingerprint:
@@ -94,23 +98,33 @@
 	return Result{Status: StatusHeld, Holder: r.Holder}
 }
 
-// Abandon gives the claim up. The holder promises that it never sent the request and never will.
-func (t *Table) Abandon(id, holder string) Result {
-	if r, ok := t.Records[id]; ok && r.Holder == holder && r.Answer == nil {
-		delete(t.Records, id)
+// Abandon gives the claim up. The holder promises that it never sent the request and never will. A claim that is
+// still under way when it is abandoned gets nothing.
+func (t *Table) Abandon(id, holder string, nowMs int64) Result {
+	t.advance(nowMs)
+	r, ok := t.Records[id]
+	own := r.Abandoned || (r.Holder == holder && r.Answer == nil)
+	if (ok && own) || (!ok && t.judges(id)) {
+		t.Records[id] = Record{Holder: holder, Abandoned: true}
 	}
 	return Result{Status: StatusRecorded}
 }
 
 // Record stores the answer for resends.
 func (t *Table) Record(id, holder string, a Answer) Result {
-	if r, ok := t.Records[id]; ok && r.Holder == holder && r.Answer == nil {
+	if r, ok := t.Records[id]; ok && r.Holder == holder && r.Answer == nil && !r.Abandoned {
 		r.Answer = &a
 		t.Records[id] = r
 	}
 	return Result{Status: StatusRecorded}
 }
 
+// judges tells whether a claim of the id, had there been one, would still be in the table.
+func (t *Table) judges(id string) bool {
+	at, err := IDTime(id)
+	return err == nil && at >= t.NowMs-Retention.Milliseconds() && at <= t.NowMs+maxSkew.Milliseconds()
+}
+
 func (t *Table) advance(nowMs int64) {
 	t.NowMs = max(t.NowMs, nowMs)
 	if t.NowMs-t.PrunedMs < Retention.Milliseconds()/60 {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -143,6 +143,7 @@
 		ID: q.ID, Fingerprint: q.Fingerprint, Holder: holder,
 	}})
 	if err != nil || r.Claim == nil {
+		go s.settle(state.Command{Abandon: &state.Abandon{ID: q.ID, Holder: holder}})
 		return nil, proto.NotRun(proto.CodeNoLeader, http.StatusServiceUnavailable, "the request can't be claimed: %v", err)
 	}
 	if r.Claim.Status != claim.StatusGranted {
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -52,6 +52,11 @@
 			stamped.NowMs = n.cfg.WallMs()
 			cs[i].Claim = &stamped
 		}
+		if c := cs[i].Abandon; c != nil {
+			stamped := *c
+			stamped.NowMs = n.cfg.WallMs()
+			cs[i].Abandon = &stamped
+		}
 	}
 }
 
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -60,6 +60,8 @@
 type Abandon struct {
 	ID     string `json:"id"`
 	Holder string `json:"holder"`
+	// NowMs is as in Claim.
+	NowMs int64 `json:"now_ms"`
 }
 
 // Outcome records the answer to a claimed request.
@@ -147,7 +149,7 @@
 		r := m.claims.Claim(c.Claim.ID, c.Claim.Fingerprint, c.Claim.Holder, c.Claim.NowMs)
 		return Result{Applied: true, Claim: &r}
 	case c.Abandon != nil:
-		r := m.claims.Abandon(c.Abandon.ID, c.Abandon.Holder)
+		r := m.claims.Abandon(c.Abandon.ID, c.Abandon.Holder, c.Abandon.NowMs)
 		return Result{Applied: true, Claim: &r}
 	case c.Outcome != nil:
 		r := m.claims.Record(c.Outcome.ID, c.Outcome.Holder, c.Outcome.Answer)
