Add faults and a record of executions to the stand-in

The scenarios need upstreams that shed, fail, freeze, crash, straggle and spoil answers on request. Faults come from flags or from POST /stub/fault; draws are seeded and each request takes the same number of draws, so that one share does not change the draws for another. Every execution is appended to a file before it starts, so that a crash or a kill does not lose it.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/signal"
@@ -26,8 +27,14 @@
 	Keyed       bool          `help:"The service is divided by key."`
 	NoCheck     bool          `help:"Run whatever arrives, without checking grants."`
 	ServiceTime time.Duration `default:"5ms" help:"Time to run one request."`
+	Record      string        `help:"File to which every execution is appended."`
+
+	Faults stub.Faults `embed:"" prefix:"fault-"`
 }
 
+// crashStatus is the exit status of a crash that a fault asked for.
+const crashStatus = 3
+
 // drainTimeout bounds the wait for moves at a stop.
 const drainTimeout = 10 * time.Second
 
@@ -42,11 +49,20 @@
 
 func run(c cli) error {
 	start := time.Now()
+	var record io.Writer
+	if c.Record != "" {
+		f, err := os.OpenFile(c.Record, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = f.Close() }()
+		record = f
+	}
 	u := stub.New(stub.Config{
 		Name: c.Name, Address: c.Listen, DataCentre: c.DataCentre, Service: c.Service, Slots: c.Slots,
 		Entries: c.Entry, ChecksGrants: !c.NoCheck, Keyed: c.Keyed, ServiceTime: c.ServiceTime,
 		Incarnation: uint64(start.UnixNano()), Clock: func() time.Duration { return time.Since(start) },
-		Client: http.DefaultClient,
+		Client: http.DefaultClient, Faults: c.Faults, Record: record, Exit: func() { os.Exit(crashStatus) },
 	})
 	announce, stopAnnouncing := context.WithCancel(context.Background())
 	defer stopAnnouncing()
--- a/internal/stub/stub.go
+++ b/internal/stub/stub.go
@@ -11,8 +11,12 @@
 	"sync"
 	"time"
 
+	"baobabreach/internal/errs"
+	"baobabreach/internal/model"
 	"baobabreach/internal/peer"
 	"baobabreach/pkg/proto"
+
+	"github.com/go-faster/errors"
 )
 
 // Config configures an Upstream.
@@ -31,6 +35,23 @@
 	Incarnation  uint64
 	Clock        func() time.Duration
 	Client       *http.Client
+	Faults       Faults
+	// Record receives one line of JSON per execution, before it starts; nil means none.
+	Record io.Writer
+	// Exit ends the process at a crash.
+	Exit func()
+}
+
+// Execution is one run of a request.
+type Execution struct {
+	RequestID string `json:"request_id"`
+	Upstream  string `json:"upstream"`
+	Service   string `json:"service"`
+	// Range and Epoch are 0 for a service without keys.
+	Range uint64 `json:"range,omitempty"`
+	Epoch uint64 `json:"epoch,omitempty"`
+	// StartNs is the wall clock in nanoseconds since the Unix epoch.
+	StartNs int64 `json:"start_ns"`
 }
 
 // Upstream is a stand-in upstream. It is safe for concurrent use.
@@ -49,6 +70,9 @@
 	drained    bool
 	runs       map[string]int
 	entry      int
+	faults     *faults
+	// thawed is closed and replaced whenever the faults are replaced.
+	thawed chan struct{}
 }
 
 // Stats is the body of the /stub/stats path.
@@ -65,12 +89,14 @@
 	return &Upstream{
 		cfg: cfg, stop: make(chan struct{}), fences: map[uint64]uint64{}, running: map[uint64]int{},
 		releasing: map[proto.Fence]bool{}, runs: map[string]int{},
+		faults: newFaults(cfg.Faults), thawed: make(chan struct{}),
 	}
 }
 
 // Announce announces the upstream until ctx ends.
 func (u *Upstream) Announce(ctx context.Context) {
 	for ctx.Err() == nil {
+		u.waitThawed(ctx.Done())
 		wait := u.announceOnce(ctx)
 		select {
 		case <-ctx.Done():
@@ -129,6 +155,9 @@
 		Slots: u.cfg.Slots, Incarnation: u.cfg.Incarnation, ChecksGrants: u.cfg.ChecksGrants,
 		Draining: u.draining, InFlight: u.inFlight,
 	}
+	if u.faults.FalseLoad > 0 {
+		a.InFlight = u.faults.FalseLoad
+	}
 	for f := range u.releasing {
 		if u.running[f.Range] == 0 {
 			a.Released = append(a.Released, f)
@@ -158,25 +187,43 @@
 
 // ServeHTTP runs one request.
 func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == "/stub/stats" {
+	if r.URL.Path == PathFault {
+		u.serveFault(w, r)
+		return
+	}
+	if r.URL.Path == PathStats {
 		peer.WriteJSON(w, http.StatusOK, u.stats())
 		return
 	}
+	u.waitThawed(r.Context().Done())
+	if r.Context().Err() == nil {
+		u.run(w, r)
+	}
+}
+
+func (u *Upstream) run(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(proto.HeaderRequestID)
 	w.Header().Set(proto.HeaderRequestID, id)
-	rangeID, err := u.begin(r)
+	rangeID, c, err := u.begin(r)
 	if err != nil {
 		peer.WriteError(w, err.WithRequestID(id))
 		return
 	}
 	defer u.end(rangeID)
 	body, _ := io.ReadAll(r.Body)
+	u.mu.Lock()
+	crash := u.faults.crashesOn(body)
+	u.mu.Unlock()
+	if crash && u.cfg.Exit != nil {
+		u.cfg.Exit()
+	}
 	select {
 	case <-r.Context().Done():
 		return
-	case <-time.After(u.cfg.ServiceTime):
+	case <-time.After(c.service + c.late):
 	}
-	peer.WriteJSON(w, http.StatusOK, echo{Upstream: u.cfg.Name, RequestID: id, Path: r.URL.Path, Bytes: len(body)})
+	u.waitThawed(r.Context().Done())
+	answer(w, c, echo{Upstream: u.cfg.Name, RequestID: id, Path: r.URL.Path, Bytes: len(body)})
 }
 
 // echo is the body of a stand-in's answer.
@@ -187,27 +234,53 @@
 	Bytes     int    `json:"bytes"`
 }
 
-// begin checks the grant and takes a slot.
-func (u *Upstream) begin(r *http.Request) (uint64, *proto.Error) {
+// begin checks the grant, takes a slot and records the execution.
+func (u *Upstream) begin(r *http.Request) (uint64, course, *proto.Error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	var rangeID uint64
+	var rangeID, epoch uint64
 	if u.cfg.Keyed {
-		id, err1 := strconv.ParseUint(r.Header.Get(proto.HeaderRange), 10, 64)
-		epoch, err2 := strconv.ParseUint(r.Header.Get(proto.HeaderEpoch), 10, 64)
-		granted := err1 == nil && err2 == nil && u.fences[id] == epoch && epoch > 0 && u.cfg.Clock() < u.grantUntil
+		var err1, err2 error
+		rangeID, err1 = strconv.ParseUint(r.Header.Get(proto.HeaderRange), 10, 64)
+		epoch, err2 = strconv.ParseUint(r.Header.Get(proto.HeaderEpoch), 10, 64)
+		granted := err1 == nil && err2 == nil && u.fences[rangeID] == epoch && epoch > 0 && u.cfg.Clock() < u.grantUntil
 		if u.cfg.ChecksGrants && !granted {
-			return 0, proto.NotRun(proto.CodeStaleGrant, http.StatusConflict, "no grant for range %d epoch %d", id, epoch)
+			return 0, course{}, proto.NotRun(proto.CodeStaleGrant, http.StatusConflict,
+				"no grant for range %d epoch %d", rangeID, epoch)
 		}
-		rangeID = id
 	}
 	if u.inFlight >= u.cfg.Slots {
-		return 0, proto.NotRun(proto.CodeOverloaded, http.StatusServiceUnavailable, "all %d slots are in use", u.cfg.Slots)
+		return 0, course{}, proto.NotRun(proto.CodeOverloaded, http.StatusServiceUnavailable,
+			"all %d slots are in use", u.cfg.Slots)
+	}
+	c := u.faults.draw(u.cfg.ServiceTime, model.Class(r.Header.Get(proto.HeaderClass)))
+	if c.shed {
+		return 0, c, proto.NotRun(proto.CodeOverloaded, http.StatusServiceUnavailable, "load is shed")
+	}
+	x := Execution{
+		RequestID: r.Header.Get(proto.HeaderRequestID), Upstream: u.cfg.Name, Service: u.cfg.Service,
+		Range: rangeID, Epoch: epoch, StartNs: time.Now().UnixNano(),
+	}
+	if err := u.record(x); err != nil {
+		return 0, c, proto.NotRun(proto.CodeInternal, http.StatusServiceUnavailable, "record: %v", err)
 	}
 	u.inFlight++
 	u.running[rangeID]++
-	u.runs[r.Header.Get(proto.HeaderRequestID)]++
-	return rangeID, nil
+	u.runs[x.RequestID]++
+	return rangeID, c, nil
+}
+
+// record writes the execution in one call, so that the end of the process leaves no partial line.
+func (u *Upstream) record(x Execution) error {
+	if u.cfg.Record == nil {
+		return nil
+	}
+	b, err := json.Marshal(x)
+	if err != nil {
+		return errors.Wrap(err, "encode")
+	}
+	_, err = u.cfg.Record.Write(append(b, '\n'))
+	return errs.Wrap(err, "write")
 }
 
 func (u *Upstream) end(rangeID uint64) {
