Add a fleet of real processes on loopback

The demo, the load tool and the scenarios share it. Children are started from one locked thread with a parent-death signal, so that they end with the starting process even after SIGKILL. A fleet holds a block of 100 ports from 20000 to 24999 by listening on its first port, so that fleets of several processes never share one.

--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,304 @@
+// Package fleet starts a fleet of real daemons and stand-in upstreams on loopback, for the demo, the load tool and
+// the scenario tests. A daemon itself never starts a process.
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+	"baobabreach/internal/errs"
+
+	"github.com/go-faster/errors"
+)
+
+// Service describes a service and its stand-in upstreams.
+type Service struct {
+	Name       string
+	Keyed      bool
+	Idempotent bool
+	// Class is short or long.
+	Class  string
+	Ranges int
+	// Deadline is the default deadline of a request; 0 means 2 s.
+	Deadline time.Duration
+	// Upstreams is the number of stand-ins, spread over the data centres in turn.
+	Upstreams   int
+	Slots       int
+	ServiceTime time.Duration
+	// Flags are further arguments of every stand-in.
+	Flags []string
+}
+
+// Config configures a fleet.
+type Config struct {
+	// Binaries is the folder with the programs baobabreach and standin.
+	Binaries string
+	// Centres names the data centres; the first host of each keeps a replica. The number must be odd.
+	Centres []string
+	// HostsPerCentre is the number of daemons in each data centre; at least 1.
+	HostsPerCentre int
+	Services       []Service
+	// Policy is the admission policy of the settings; empty means the default of the daemon.
+	Policy string
+	// BalancerDelay is the time between turning readiness off and refusing requests at a stop.
+	BalancerDelay time.Duration
+}
+
+// Host is a daemon of the fleet.
+type Host struct {
+	Name    string
+	Centre  string
+	Caller  string
+	Control string
+}
+
+// Upstream is a stand-in of the fleet.
+type Upstream struct {
+	Name    string
+	Centre  string
+	Service string
+	Address string
+}
+
+// Fleet is a running fleet. It is safe for concurrent use.
+type Fleet struct {
+	// Hosts and Upstreams do not change after Start.
+	Hosts     []Host
+	Upstreams []Upstream
+
+	cfg    Config
+	folder string
+	ports  *block
+	client *http.Client
+
+	mu        sync.Mutex
+	processes map[string]*process
+}
+
+// Start starts every process and waits until the fleet is ready. On an error nothing is left behind.
+func Start(ctx context.Context, cfg Config) (*Fleet, error) {
+	folder, err := os.MkdirTemp("", "baobabreach-fleet-")
+	if err != nil {
+		return nil, errors.Wrap(err, "make folder")
+	}
+	f := &Fleet{
+		cfg: cfg, folder: folder, processes: map[string]*process{},
+		client: &http.Client{Timeout: queryTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 2}},
+	}
+	if err := f.start(ctx); err != nil {
+		return nil, errors.Wrap(err, f.closeWithLogs())
+	}
+	return f, nil
+}
+
+// queryTimeout bounds one query of a process by the fleet itself.
+const queryTimeout = 2 * time.Second
+
+func (f *Fleet) start(ctx context.Context) error {
+	n := len(f.cfg.Centres) * f.cfg.HostsPerCentre * portsPerHost
+	for _, s := range f.cfg.Services {
+		n += s.Upstreams
+	}
+	ports, err := claimBlock(n)
+	if err != nil {
+		return err
+	}
+	f.ports = ports
+	f.place()
+	for i := range f.Hosts {
+		if err := f.writeSettings(i); err != nil {
+			return err
+		}
+		if err := f.Restart(f.Hosts[i].Name); err != nil {
+			return err
+		}
+	}
+	for _, u := range f.Upstreams {
+		if err := f.Restart(u.Name); err != nil {
+			return err
+		}
+	}
+	return f.WaitReady(ctx)
+}
+
+// place gives every process its data centre and addresses.
+func (f *Fleet) place() {
+	for _, c := range f.cfg.Centres {
+		for i := range f.cfg.HostsPerCentre {
+			f.Hosts = append(f.Hosts, Host{
+				Name: fmt.Sprintf("%s%d", c, i+1), Centre: c, Caller: f.ports.next(), Control: f.ports.next(),
+			})
+		}
+	}
+	for _, s := range f.cfg.Services {
+		for i := range s.Upstreams {
+			c := f.cfg.Centres[i%len(f.cfg.Centres)]
+			f.Upstreams = append(f.Upstreams, Upstream{
+				Name: fmt.Sprintf("%s-%s%d", s.Name, c, i/len(f.cfg.Centres)+1), Centre: c, Service: s.Name,
+				Address: f.ports.next(),
+			})
+		}
+	}
+}
+
+// Restart starts a process that is not running.
+func (f *Fleet) Restart(name string) error {
+	program, args, err := f.commandLine(name)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if p := f.processes[name]; p != nil && !p.ended() {
+		return errors.Errorf("%s is running", name)
+	}
+	p, err := startProcess(filepath.Join(f.cfg.Binaries, program), args, filepath.Join(f.folder, name+".log"))
+	if err != nil {
+		return errors.Wrapf(err, "start %s", name)
+	}
+	f.processes[name] = p
+	return nil
+}
+
+func (f *Fleet) commandLine(name string) (string, []string, error) {
+	if slices.ContainsFunc(f.Hosts, func(h Host) bool { return h.Name == name }) {
+		return "baobabreach", []string{"serve", f.settingsFile(name)}, nil
+	}
+	i := slices.IndexFunc(f.Upstreams, func(u Upstream) bool { return u.Name == name })
+	if i < 0 {
+		return "", nil, errors.Errorf("no process is named %s", name)
+	}
+	u := f.Upstreams[i]
+	s := f.service(u.Service)
+	args := []string{
+		"--name", u.Name, "--listen", u.Address, "--data-centre", u.Centre, "--service", u.Service,
+		"--slots", fmt.Sprint(s.Slots), "--service-time", s.ServiceTime.String(), "--record", f.recordFile(name),
+	}
+	if s.Keyed {
+		args = append(args, "--keyed")
+	}
+	for _, a := range f.controls(u.Centre) {
+		args = append(args, "--entry", a)
+	}
+	return "standin", append(args, s.Flags...), nil
+}
+
+// controls lists the control addresses, those of the given data centre first.
+func (f *Fleet) controls(centre string) []string {
+	var near, far []string
+	for _, h := range f.Hosts {
+		if h.Centre == centre {
+			near = append(near, h.Control)
+			continue
+		}
+		far = append(far, h.Control)
+	}
+	return append(near, far...)
+}
+
+func (f *Fleet) service(name string) Service {
+	i := slices.IndexFunc(f.cfg.Services, func(s Service) bool { return s.Name == name })
+	return f.cfg.Services[i]
+}
+
+// Close kills every process, waits for their ends and removes the folder.
+func (f *Fleet) Close() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.processes {
+		p.kill()
+	}
+	for _, p := range f.processes {
+		<-p.done
+	}
+	if f.ports != nil {
+		f.ports.release()
+	}
+	f.client.CloseIdleConnections()
+	return errs.Wrap(os.RemoveAll(f.folder), "remove folder")
+}
+
+// closeWithLogs closes the fleet and returns the ends of the logs of processes that ended by themselves.
+func (f *Fleet) closeWithLogs() string {
+	f.mu.Lock()
+	text := "start fleet"
+	for _, name := range slices.Sorted(maps.Keys(f.processes)) {
+		if f.processes[name].ended() {
+			text += fmt.Sprintf("; %s ended: %s", name, logEnd(filepath.Join(f.folder, name+".log")))
+		}
+	}
+	f.mu.Unlock()
+	_ = f.Close()
+	return text
+}
+
+func logEnd(name string) string {
+	const most = 400
+	b, err := os.ReadFile(name)
+	if err != nil {
+		return err.Error()
+	}
+	return string(b[max(0, len(b)-most):])
+}
+
+// Ports of a fleet. A block is claimed by listening on its first port for the life of the fleet, so that fleets of
+// several processes on one machine never share a block. The range lies below the kernel's ephemeral ports.
+const (
+	firstPort    = 20000
+	lastPort     = 24999
+	blockPorts   = 100
+	portsPerHost = 3
+)
+
+type block struct {
+	lock net.Listener
+	port int
+	last int
+}
+
+func claimBlock(n int) (*block, error) {
+	if n >= blockPorts {
+		return nil, errors.Errorf("%d ports are needed, a block holds %d", n, blockPorts-1)
+	}
+	count := (lastPort - firstPort + 1) / blockPorts
+	for i := range count {
+		first := firstPort + (os.Getpid()+i)%count*blockPorts
+		l, err := net.Listen("tcp", address(first))
+		if err != nil {
+			continue
+		}
+		if allFree(first+1, n) {
+			return &block{lock: l, port: first, last: first + n}, nil
+		}
+		_ = l.Close()
+	}
+	return nil, errors.Errorf("no free block of ports from %d to %d", firstPort, lastPort)
+}
+
+func allFree(first, n int) bool {
+	for p := first; p < first+n; p++ {
+		l, err := net.Listen("tcp", address(p))
+		if err != nil {
+			return false
+		}
+		_ = l.Close()
+	}
+	return true
+}
+
+func (b *block) next() string {
+	b.port++
+	return address(b.port)
+}
+
+func (b *block) release() { _ = b.lock.Close() }
+
+func address(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
--- /dev/null
+++ b/internal/fleet/process.go
@@ -0,0 +1,137 @@
+package fleet
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"runtime"
+	"sync"
+	"syscall"
+
+	"baobabreach/internal/errs"
+
+	"github.com/go-faster/errors"
+)
+
+// process is a child process. done is closed after its end was collected.
+type process struct {
+	cmd  *exec.Cmd
+	done chan struct{}
+}
+
+// spawns carries starts to one locked thread. The kernel kills the children when the thread that started them ends,
+// so that thread has to live as long as this process.
+var (
+	spawns    = make(chan func())
+	spawnOnce sync.Once
+)
+
+func spawn(fn func()) {
+	spawnOnce.Do(func() {
+		go func() {
+			runtime.LockOSThread()
+			for f := range spawns {
+				f()
+			}
+		}()
+	})
+	done := make(chan struct{})
+	spawns <- func() {
+		defer close(done)
+		fn()
+	}
+	<-done
+}
+
+// startProcess starts a child that dies with this process and appends its output to a log file.
+func startProcess(program string, args []string, log string) (*process, error) {
+	out, err := os.OpenFile(log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, errors.Wrap(err, "open log")
+	}
+	defer func() { _ = out.Close() }()
+	p := &process{cmd: exec.Command(program, args...), done: make(chan struct{})}
+	p.cmd.Stdout, p.cmd.Stderr = out, out
+	// A group of its own keeps Ctrl-C at the terminal from reaching the children before the fleet ends them.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
+	spawn(func() { err = p.cmd.Start() })
+	if err != nil {
+		return nil, errors.Wrap(err, "start process")
+	}
+	go func() {
+		defer close(p.done)
+		_ = p.cmd.Wait()
+	}()
+	return p, nil
+}
+
+func (p *process) ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
+func (p *process) kill() { _ = p.cmd.Process.Kill() }
+
+// Kill ends a process with SIGKILL and waits for its end.
+func (f *Fleet) Kill(name string) error {
+	p, err := f.running(name)
+	if err != nil {
+		return err
+	}
+	p.kill()
+	<-p.done
+	return nil
+}
+
+// Pause stops a process with SIGSTOP.
+func (f *Fleet) Pause(name string) error { return f.signal(name, syscall.SIGSTOP) }
+
+// Resume continues a paused process.
+func (f *Fleet) Resume(name string) error { return f.signal(name, syscall.SIGCONT) }
+
+// Stop ends a process with SIGTERM and waits for its graceful end. A non-zero exit status is an error.
+func (f *Fleet) Stop(ctx context.Context, name string) error {
+	if err := f.signal(name, syscall.SIGTERM); err != nil {
+		return err
+	}
+	f.mu.Lock()
+	p := f.processes[name]
+	f.mu.Unlock()
+	select {
+	case <-p.done:
+	case <-ctx.Done():
+		return errors.Wrapf(ctx.Err(), "wait for %s", name)
+	}
+	if !p.cmd.ProcessState.Success() {
+		return errors.Errorf("%s ended with %s", name, p.cmd.ProcessState)
+	}
+	return nil
+}
+
+// Running tells whether a process has not ended.
+func (f *Fleet) Running(name string) bool {
+	_, err := f.running(name)
+	return err == nil
+}
+
+func (f *Fleet) signal(name string, s os.Signal) error {
+	p, err := f.running(name)
+	if err != nil {
+		return err
+	}
+	return errs.Wrap(p.cmd.Process.Signal(s), "signal "+name)
+}
+
+func (f *Fleet) running(name string) (*process, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.processes[name]
+	if p == nil || p.ended() {
+		return nil, errors.Errorf("%s is not running", name)
+	}
+	return p, nil
+}
--- /dev/null
+++ b/internal/fleet/query.go
@@ -0,0 +1,171 @@
+package fleet
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"os"
+	"time"
+
+	"baobabreach/internal/errs"
+	"baobabreach/internal/peer"
+	"baobabreach/internal/stub"
+
+	"github.com/go-faster/errors"
+)
+
+const pollInterval = 50 * time.Millisecond
+
+// Wait polls until check returns nil, or returns its last error once ctx ends.
+func Wait(ctx context.Context, check func(context.Context) error) error {
+	for {
+		err := check(ctx)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(err, "gave up waiting")
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+// WaitReady waits until every running host is ready and every keyed range has an owner.
+func (f *Fleet) WaitReady(ctx context.Context) error {
+	return Wait(ctx, func(ctx context.Context) error {
+		for _, h := range f.Hosts {
+			if err := f.checkReady(ctx, h); err != nil {
+				return err
+			}
+		}
+		return f.CheckOwned(ctx)
+	})
+}
+
+func (f *Fleet) checkReady(ctx context.Context, h Host) error {
+	if !f.Running(h.Name) {
+		return nil
+	}
+	b, status, err := f.get(ctx, h.Caller, "/readyz")
+	if err == nil && status != http.StatusOK {
+		err = errors.Errorf("%s is not ready: %s", h.Name, b)
+	}
+	return err
+}
+
+// CheckOwned returns an error unless the running upstreams own every range of every keyed service.
+func (f *Fleet) CheckOwned(ctx context.Context) error {
+	owned := map[string]int{}
+	for _, u := range f.Upstreams {
+		s := f.service(u.Service)
+		if !s.Keyed || !f.Running(u.Name) {
+			continue
+		}
+		st, err := f.Stats(ctx, u.Name)
+		if err != nil {
+			return err
+		}
+		owned[u.Service] += len(st.Epochs)
+	}
+	for _, s := range f.cfg.Services {
+		if s.Keyed && s.Upstreams > 0 && owned[s.Name] < s.Ranges {
+			return errors.Errorf("%d of %d ranges of %s have an owner", owned[s.Name], s.Ranges, s.Name)
+		}
+	}
+	return nil
+}
+
+// Stats returns what a running upstream tells about itself.
+func (f *Fleet) Stats(ctx context.Context, upstream string) (stub.Stats, error) {
+	var st stub.Stats
+	a, err := f.addressOf(upstream)
+	if err != nil {
+		return st, err
+	}
+	b, _, err := f.get(ctx, a, stub.PathStats)
+	if err != nil {
+		return st, err
+	}
+	return st, errs.Wrap(json.Unmarshal(b, &st), "decode stats of "+upstream)
+}
+
+// SetFaults replaces the faults of an upstream.
+func (f *Fleet) SetFaults(ctx context.Context, upstream string, x stub.Faults) error {
+	a, err := f.addressOf(upstream)
+	if err != nil {
+		return err
+	}
+	_, err = peer.Call[stub.Faults, stub.Faults](ctx, f.client, "http://"+a+stub.PathFault, "", x)
+	return errs.Wrap(err, "set faults of "+upstream)
+}
+
+func (f *Fleet) addressOf(upstream string) (string, error) {
+	for _, u := range f.Upstreams {
+		if u.Name == upstream {
+			return u.Address, nil
+		}
+	}
+	return "", errors.Errorf("no upstream is named %s", upstream)
+}
+
+// Leader returns the name of the host whose replica leads.
+func (f *Fleet) Leader(ctx context.Context) (string, error) {
+	type query struct {
+		Version uint64 `json:"version"`
+	}
+	for i := 0; i < len(f.Hosts); i += f.cfg.HostsPerCentre {
+		h := f.Hosts[i]
+		if !f.Running(h.Name) {
+			continue
+		}
+		// A watch for another version than the present one is answered at once, and by the leader only.
+		if _, err := peer.Call[query, query](ctx, f.client, "http://"+h.Control+peer.PathWatch, "", query{}); err == nil {
+			return h.Name, nil
+		}
+	}
+	return "", errors.New("no replica leads")
+}
+
+// Executions reads the records of all upstreams, including those that have ended.
+func (f *Fleet) Executions() ([]stub.Execution, error) {
+	var out []stub.Execution
+	for _, u := range f.Upstreams {
+		b, err := os.ReadFile(f.recordFile(u.Name))
+		if errors.Is(err, os.ErrNotExist) {
+			continue
+		}
+		if err != nil {
+			return nil, errors.Wrap(err, "read records")
+		}
+		s := bufio.NewScanner(bytes.NewReader(b))
+		for s.Scan() {
+			var x stub.Execution
+			if err := json.Unmarshal(s.Bytes(), &x); err != nil {
+				return nil, errors.Wrapf(err, "record of %s", u.Name)
+			}
+			out = append(out, x)
+		}
+		if err := s.Err(); err != nil {
+			return nil, errors.Wrap(err, "read records")
+		}
+	}
+	return out, nil
+}
+
+func (f *Fleet) get(ctx context.Context, address, path string) ([]byte, int, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return nil, 0, errors.Wrap(err, "make request")
+	}
+	resp, err := f.client.Do(req)
+	if err != nil {
+		return nil, 0, errors.Wrap(err, "send request")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var b bytes.Buffer
+	_, err = b.ReadFrom(resp.Body)
+	return b.Bytes(), resp.StatusCode, errs.Wrap(err, "read answer")
+}
--- /dev/null
+++ b/internal/fleet/settings.go
@@ -0,0 +1,74 @@
+package fleet
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"baobabreach/internal/errs"
+
+	"github.com/go-faster/errors"
+	"gopkg.in/ini.v1"
+)
+
+func (f *Fleet) settingsFile(host string) string { return filepath.Join(f.folder, host+".ini") }
+
+func (f *Fleet) recordFile(upstream string) string { return filepath.Join(f.folder, upstream+".runs") }
+
+func (f *Fleet) writeSettings(i int) error {
+	h := f.Hosts[i]
+	file := ini.Empty()
+	set := func(section string, pairs ...string) {
+		for j := 0; j < len(pairs); j += 2 {
+			file.Section(section).Key(pairs[j]).SetValue(pairs[j+1])
+		}
+	}
+	set("daemon", "host", h.Name, "data_centre", h.Centre)
+	if i%f.cfg.HostsPerCentre == 0 {
+		data := filepath.Join(f.folder, "data-"+h.Name)
+		if err := os.Mkdir(data, 0o700); err != nil {
+			return errors.Wrap(err, "make data folder")
+		}
+		set("daemon", "data_dir", data)
+	}
+	set("listen", "caller", h.Caller, "control", h.Control, "operator", f.ports.next())
+	set("cluster", "replicas", f.replicas())
+	set("log", "level", "info")
+	if f.cfg.Policy != "" {
+		set("admission", "policy", f.cfg.Policy)
+	}
+	set("stop", "balancer_delay", f.cfg.BalancerDelay.String())
+	for _, s := range f.cfg.Services {
+		section := "service." + s.Name
+		set(section, "keyed", fmt.Sprint(s.Keyed), "idempotent", fmt.Sprint(s.Idempotent), "class", s.Class)
+		if s.Keyed {
+			set(section, "ranges", fmt.Sprint(s.Ranges))
+		}
+		if s.Deadline > 0 {
+			set(section, "deadline", s.Deadline.String())
+		}
+	}
+	return errs.Wrap(file.SaveTo(f.settingsFile(h.Name)), "write settings")
+}
+
+func (f *Fleet) replicas() string {
+	var out []string
+	for i := 0; i < len(f.Hosts); i += f.cfg.HostsPerCentre {
+		out = append(out, f.Hosts[i].Name+"@"+f.Hosts[i].Control)
+	}
+	return strings.Join(out, ", ")
+}
+
+// CheckLoopback refuses addresses that are not on loopback.
+func CheckLoopback(address string) error {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return errors.Wrap(err, "address")
+	}
+	if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
+		return errors.Errorf("%s is not a loopback address", address)
+	}
+	return nil
+}
