Add the demo

Three data centres with four hosts each, 18 stand-ins; an upstream and the leading daemon are killed under load. A request is lost if it was reported done without having run, or as not run although it ran.

--- /dev/null
+++ b/cmd/demo/main.go
@@ -0,0 +1,136 @@
+// Command demo runs a fleet of three data centres on loopback, kills an upstream and the leading daemon under load
+// and checks that nothing was lost or run twice.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"baobabreach/internal/fleet"
+
+	"github.com/alecthomas/kong"
+	"github.com/go-faster/errors"
+)
+
+type cli struct {
+	Binaries string        `default:"bin" type:"existingdir" help:"Folder with the programs."`
+	Seed     uint64        `default:"1" help:"Seed of keys and request ids."`
+	Duration time.Duration `default:"14s" help:"Time under load, at most 40s."`
+}
+
+const (
+	maxDuration = 40 * time.Second
+	// runTimeout ends the demo in any case.
+	runTimeout = 58 * time.Second
+	// finishTimeout bounds the resends after the last new request.
+	finishTimeout = 8 * time.Second
+)
+
+func main() {
+	var c cli
+	kong.Parse(&c, kong.Name("demo"), kong.Description("Shows a fleet that loses an upstream and its leader."))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, runTimeout)
+	defer cancel()
+	s, err := run(ctx, c)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "demo:", err)
+		os.Exit(1)
+	}
+	fmt.Println(s)
+	if !s.ok() {
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, c cli) (s summary, err error) {
+	if c.Duration > maxDuration {
+		return s, errors.Errorf("duration %s is longer than %s", c.Duration, maxDuration)
+	}
+	binaries, err := filepath.Abs(c.Binaries)
+	if err != nil {
+		return s, errors.Wrap(err, "folder of programs")
+	}
+	fmt.Println("starting 12 daemons and 18 stand-in upstreams")
+	f, err := fleet.Start(ctx, fleet.Config{
+		Binaries: binaries, Centres: []string{"a", "b", "c"}, HostsPerCentre: 4, Services: services(),
+	})
+	if err != nil {
+		return s, err
+	}
+	defer func() {
+		if cerr := f.Close(); cerr != nil && err == nil {
+			err = cerr
+		}
+	}()
+	fmt.Println("every host is ready and every key has an owner")
+	t := newTraffic(f, c.Seed)
+	load, cancel := context.WithTimeout(ctx, c.Duration)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- breakThings(load, f, c.Duration) }()
+	finish, cancelFinish := context.WithTimeout(ctx, c.Duration+finishTimeout)
+	defer cancelFinish()
+	t.run(load, finish)
+	broken := <-done
+	if ctx.Err() != nil {
+		return s, errors.Wrap(ctx.Err(), "interrupted")
+	}
+	if s, err = t.summary(); broken != nil {
+		s.note = "; not everything was killed: " + broken.Error()
+	}
+	return s, err
+}
+
+func services() []fleet.Service {
+	return []fleet.Service{
+		{
+			Name: "catalogue", Keyed: true, Idempotent: true, Class: "short", Ranges: 48, Upstreams: 6, Slots: 3,
+			ServiceTime: 5 * time.Millisecond,
+		},
+		{Name: "orders", Class: "short", Upstreams: 6, Slots: 3, ServiceTime: 10 * time.Millisecond},
+		{
+			Name: "care_sheets", Idempotent: true, Class: "long", Upstreams: 6, Slots: 3,
+			ServiceTime: 50 * time.Millisecond, Deadline: 5 * time.Second,
+		},
+	}
+}
+
+// breakThings kills an upstream after a quarter of the time and the leader after half of it.
+func breakThings(ctx context.Context, f *fleet.Fleet, d time.Duration) error {
+	steps := []func() error{
+		func() error {
+			fmt.Println("killing upstream catalogue-b1")
+			return f.Kill("catalogue-b1")
+		},
+		func() error {
+			var leader string
+			err := fleet.Wait(ctx, func(ctx context.Context) (err error) {
+				leader, err = f.Leader(ctx)
+				return err
+			})
+			if err != nil {
+				return err
+			}
+			fmt.Println("killing the leading daemon", leader)
+			return f.Kill(leader)
+		},
+	}
+	for _, step := range steps {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(d / 4):
+		}
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/load/client.go
@@ -0,0 +1,181 @@
+// Package load is an open-loop load generator for a fleet on loopback, with its plans and reports.
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"baobabreach/internal/claim"
+	"baobabreach/internal/fleet"
+	"baobabreach/pkg/proto"
+
+	"github.com/go-faster/errors"
+)
+
+// Request is a request of a caller.
+type Request struct {
+	ID      string
+	Service string
+	// Method is GET if it is empty.
+	Method string
+	Key    string
+	Tenant string
+	// Class is the class of the service if it is empty.
+	Class string
+	Body  string
+	// Deadline is the deadline of the service if it is 0.
+	Deadline time.Duration
+}
+
+// Reply is what a caller learns. Outcome is unknown if no whole answer arrived.
+type Reply struct {
+	Outcome  proto.Outcome
+	Code     proto.Code
+	Status   int
+	Upstream string
+	// Err is the error of the transport, if no whole answer arrived.
+	Err error
+}
+
+// Client sends requests to entry hosts. It is safe for concurrent use.
+type Client struct {
+	http *http.Client
+}
+
+const (
+	idleConnections = 512
+	dialTimeout     = time.Second
+	// answerMargin is how long a client waits for an answer beyond the deadline of its request.
+	answerMargin = time.Second
+	// defaultDeadline is the deadline of a service that sets none.
+	defaultDeadline = 2 * time.Second
+	maxAnswerBytes  = 8 << 20
+)
+
+// NewClient returns a client that refuses to connect to anything but loopback.
+func NewClient() *Client {
+	d := &net.Dialer{Timeout: dialTimeout, Control: func(_, address string, _ syscall.RawConn) error {
+		return fleet.CheckLoopback(address)
+	}}
+	return &Client{http: &http.Client{Transport: &http.Transport{
+		DialContext: d.DialContext, MaxIdleConnsPerHost: idleConnections, DisableCompression: true,
+	}}}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Send sends one request to the caller address of a host, once.
+func (c *Client) Send(ctx context.Context, host string, q Request) Reply {
+	deadline := q.Deadline
+	if deadline == 0 {
+		deadline = defaultDeadline
+	}
+	ctx, cancel := context.WithTimeout(ctx, deadline+answerMargin)
+	defer cancel()
+	req, err := newRequest(ctx, host, q)
+	if err != nil {
+		return Reply{Outcome: proto.OutcomeNotRun, Err: err}
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return lost(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return lost(err)
+	}
+	r := Reply{
+		Outcome: proto.Outcome(resp.Header.Get(proto.HeaderOutcome)), Status: resp.StatusCode,
+		Upstream: resp.Header.Get(proto.HeaderUpstream),
+	}
+	var e proto.Error
+	if r.Outcome != proto.OutcomeDone && json.Unmarshal(body, &e) == nil {
+		r.Code = e.Code
+	}
+	if id := resp.Header.Get(proto.HeaderRequestID); id != q.ID || r.Outcome == "" {
+		return lost(errors.Errorf("the answer has request id %q and outcome %q", id, r.Outcome))
+	}
+	return r
+}
+
+// lost tells a refused connection, on which nothing was sent, from a lost answer.
+func lost(err error) Reply {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return Reply{Outcome: proto.OutcomeNotRun, Err: err}
+	}
+	return Reply{Outcome: proto.OutcomeUnknown, Err: err}
+}
+
+func newRequest(ctx context.Context, host string, q Request) (*http.Request, error) {
+	method := q.Method
+	if method == "" {
+		method = http.MethodGet
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+host+"/s/"+q.Service+"/item", strings.NewReader(q.Body))
+	if err != nil {
+		return nil, errors.Wrap(err, "make request")
+	}
+	// Without GetBody the transport never sends the request a second time by itself.
+	req.GetBody = nil
+	req.Header.Set(proto.HeaderRequestID, q.ID)
+	for k, v := range map[string]string{
+		proto.HeaderKey: q.Key, proto.HeaderTenant: q.Tenant, proto.HeaderClass: q.Class,
+	} {
+		if v != "" {
+			req.Header.Set(k, v)
+		}
+	}
+	if q.Deadline > 0 {
+		req.Header.Set(proto.HeaderDeadlineMs, strconv.FormatInt(q.Deadline.Milliseconds(), 10))
+	}
+	return req, nil
+}
+
+// resendPause is the time between two tries of one request.
+const resendPause = 100 * time.Millisecond
+
+// SendUntilDone sends a request, and resends it with the same id through the next host, until it is done, tries are
+// used up or ctx ends. It returns the last reply, and unknown rather than not_run if any try was unknown.
+func (c *Client) SendUntilDone(ctx context.Context, hosts []string, first, tries int, q Request) Reply {
+	var last Reply
+	unknown := false
+	for i := range tries {
+		last = c.Send(ctx, hosts[(first+i)%len(hosts)], q)
+		if last.Outcome == proto.OutcomeDone {
+			return last
+		}
+		unknown = unknown || last.Outcome == proto.OutcomeUnknown
+		select {
+		case <-ctx.Done():
+		case <-time.After(resendPause):
+			continue
+		}
+		break
+	}
+	if unknown {
+		last.Outcome = proto.OutcomeUnknown
+	}
+	return last
+}
+
+// NewID returns a UUIDv7 of the present time.
+func NewID(r *rand.Rand) string {
+	b := make([]byte, 0, 16)
+	for range 2 {
+		v := r.Uint64()
+		for i := range 8 {
+			b = append(b, byte(v>>(8*i)))
+		}
+	}
+	return claim.NewID(time.Now().UnixMilli(), b)
+}
