Add the load command

Executions, work run twice, imbalance and waits behind long work come from the stand-ins' own records. A policy that the settings don't know, such as naive, is named in the table and not run.

--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -27,6 +27,7 @@
 type cli struct {
 	Serve   serveCmd   `cmd:"" help:"Run a daemon."`
 	Check   checkCmd   `cmd:"" help:"Check a settings file without starting."`
+	Load    loadCmd    `cmd:"" help:"Generate load on loopback and report latencies and goodput."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
--- /dev/null
+++ b/internal/cmds/load.go
@@ -0,0 +1,96 @@
+package cmds
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"slices"
+	"syscall"
+
+	"baobabreach/internal/config"
+	"baobabreach/internal/errs"
+	"baobabreach/internal/load"
+
+	"github.com/go-faster/errors"
+)
+
+type loadCmd struct {
+	Plan   string   `default:"kovacic" help:"Built-in plan kovacic or cascade, or a JSON file."`
+	Seed   uint64   `default:"1" help:"Seed of the arrivals and faults."`
+	Policy []string `default:"local" help:"Admission policies to compare, each on a fleet of its own on loopback."`
+	Target []string `help:"Caller addresses of running hosts on loopback, instead of a fleet."`
+	JSON   string   `name:"json" type:"path" help:"File for the results."`
+	Plot   string   `type:"path" help:"File for an SVG plot of latency and goodput over time."`
+}
+
+// Run runs the plan once per policy, or once against the targets.
+func (c loadCmd) Run(out io.Writer) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	plan, err := load.ReadPlan(c.Plan)
+	if err != nil {
+		return err
+	}
+	program, err := os.Executable()
+	if err != nil {
+		return errors.Wrap(err, "find programs")
+	}
+	o := load.Options{Plan: plan, Seed: c.Seed, Progress: os.Stderr, Binaries: filepath.Dir(program)}
+	rs, err := c.runAll(ctx, o)
+	if err != nil {
+		return err
+	}
+	if err := load.WriteTable(out, rs); err != nil {
+		return err
+	}
+	if err := writeFile(c.JSON, func(w io.Writer) error {
+		e := json.NewEncoder(w)
+		e.SetIndent("", "  ")
+		return errs.Wrap(e.Encode(rs), "encode results")
+	}); err != nil {
+		return err
+	}
+	return writeFile(c.Plot, func(w io.Writer) error { return load.WritePlot(w, rs) })
+}
+
+func (c loadCmd) runAll(ctx context.Context, o load.Options) ([]load.Result, error) {
+	if len(c.Target) > 0 {
+		r, err := load.RunTarget(ctx, o, c.Target)
+		return []load.Result{r}, err
+	}
+	var rs []load.Result
+	for _, p := range c.Policy {
+		if !slices.Contains(config.Policies, config.Policy(p)) {
+			rs = append(rs, load.Result{Plan: o.Plan.Name, Policy: p, Seed: o.Seed, Note: "not run: this daemon has no such policy"})
+			continue
+		}
+		_, _ = fmt.Fprintln(os.Stderr, "policy", p)
+		r, err := load.RunPolicy(ctx, o, p)
+		if err != nil {
+			return rs, errors.Wrapf(err, "policy %s", p)
+		}
+		rs = append(rs, r)
+	}
+	return rs, nil
+}
+
+// writeFile writes a file by fn; an empty name means none.
+func writeFile(name string, fn func(io.Writer) error) (err error) {
+	if name == "" {
+		return nil
+	}
+	f, err := os.Create(name)
+	if err != nil {
+		return errors.Wrap(err, "create file")
+	}
+	defer func() {
+		if cerr := f.Close(); err == nil {
+			err = errs.Wrap(cerr, "close file")
+		}
+	}()
+	return fn(f)
+}
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,122 @@
+package load_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"encoding/xml"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"baobabreach/internal/load"
+	"baobabreach/pkg/proto"
+
+	"github.com/matryer/is"
+)
+
+func small() load.Plan {
+	return load.Plan{
+		Name: "small", HostsPerCentre: 1,
+		Services: []load.Service{
+			{
+				Name: "catalogue", Keyed: true, Idempotent: true, Class: "short", Upstreams: 1, Slots: 1,
+				DeadlineMs: 1000, Rate: 50, Keys: 10,
+			},
+			{Name: "orders", Class: "short", Upstreams: 1, Slots: 1, DeadlineMs: 1000, Rate: 10},
+		},
+		Phases: []load.Phase{{Name: "steady", Seconds: 1, RateFactor: 1}, {Name: "crest", Seconds: 1, RateFactor: 4}},
+	}
+}
+
+// Guards against runs with one seed that can't be compared, and against a crest that never comes.
+func TestScheduleFollowsSeedAndPhases(t *testing.T) {
+	is := is.New(t)
+	a, b := load.Schedule(small(), 3, 7), load.Schedule(small(), 3, 7)
+	is.Equal(len(a), len(b))
+	perPhase := [2]int{}
+	for i := range a {
+		is.Equal(a[i].At, b[i].At)
+		is.Equal(a[i].Host, b[i].Host)
+		is.Equal(a[i].Request.Key, b[i].Request.Key)
+		is.True(i == 0 || a[i-1].At <= a[i].At)
+		perPhase[a[i].Phase]++
+	}
+	is.True(perPhase[1] > 2*perPhase[0])
+	is.True(len(load.Schedule(small(), 3, 8)) != len(a) || load.Schedule(small(), 3, 8)[0].At != a[0].At)
+}
+
+// Guards against a plan that would occupy the machine, and against built-in plans beyond the bounds.
+func TestPlanBounds(t *testing.T) {
+	is := is.New(t)
+	for i, change := range []func(*load.Plan){
+		func(*load.Plan) {},
+		func(p *load.Plan) { p.Services[0].Rate = 4000 },
+		func(p *load.Plan) { p.Phases[0].Seconds = 400 },
+		func(p *load.Plan) { p.Services[0].Upstreams = 60 },
+		func(p *load.Plan) { p.Phases[1].Event = "explode" },
+		func(p *load.Plan) { p.Services[0].Keys = 0 },
+	} {
+		p := small()
+		change(&p)
+		b, err := json.Marshal(p)
+		is.NoErr(err)
+		name := filepath.Join(t.TempDir(), "plan.json")
+		is.NoErr(os.WriteFile(name, b, 0o600))
+		_, err = load.ReadPlan(name)
+		is.Equal(err == nil, i == 0) // only the unchanged plan is accepted
+	}
+	for _, name := range []string{"kovacic", "cascade"} {
+		p, err := load.ReadPlan(name)
+		is.NoErr(err)
+		b, err := json.Marshal(p)
+		is.NoErr(err)
+		file := filepath.Join(t.TempDir(), name)
+		is.NoErr(os.WriteFile(file, b, 0o600))
+		_, err = load.ReadPlan(file)
+		is.NoErr(err)
+	}
+}
+
+// Guards against latencies counted from the send instead of the intended start, against outcomes in the wrong
+// column, and against reports that no reader accepts.
+func TestRunTargetCountsOutcomes(t *testing.T) {
+	is := is.New(t)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(proto.HeaderRequestID, r.Header.Get(proto.HeaderRequestID))
+		outcome := proto.OutcomeDone
+		if r.Method == http.MethodPost {
+			outcome = proto.OutcomeUnknown
+		}
+		w.Header().Set(proto.HeaderOutcome, string(outcome))
+		time.Sleep(10 * time.Millisecond)
+	}))
+	defer s.Close()
+	o := load.Options{Plan: small(), Seed: 1, Progress: io.Discard}
+	res, err := load.RunTarget(context.Background(), o, []string{s.Listener.Addr().String()})
+	is.NoErr(err)
+	posts := 0
+	for _, a := range load.Schedule(small(), 1, 1) {
+		if a.Request.Service == "orders" {
+			posts++
+		}
+	}
+	is.Equal(res.Total.Unknown, posts)
+	is.Equal(res.Total.Planned, res.Total.Answered+res.Total.Unknown)
+	is.True(res.Total.P50Ms >= 10)
+	is.Equal(len(res.Seconds), 2)
+	var table, plot bytes.Buffer
+	is.NoErr(load.WriteTable(&table, []load.Result{res}))
+	is.True(bytes.Contains(table.Bytes(), []byte("crest")))
+	is.NoErr(load.WritePlot(&plot, []load.Result{res}))
+	d := xml.NewDecoder(&plot)
+	for err == nil {
+		_, err = d.Token()
+	}
+	is.True(errors.Is(err, io.EOF)) // the plot is well-formed
+}
--- /dev/null
+++ b/internal/load/plan.go
@@ -0,0 +1,193 @@
+package load
+
+import (
+	"encoding/json"
+	"os"
+	"time"
+
+	"baobabreach/internal/fleet"
+
+	"github.com/go-faster/errors"
+)
+
+// Bounds of a plan, so that a mistake can't occupy the machine.
+const (
+	maxRate      = 5000
+	maxSeconds   = 300
+	maxUpstreams = 50
+)
+
+// Service is a service of a plan with its steady load.
+type Service struct {
+	Name       string `json:"name"`
+	Keyed      bool   `json:"keyed"`
+	Idempotent bool   `json:"idempotent"`
+	Class      string `json:"class"`
+	Upstreams  int    `json:"upstreams"`
+	Slots      int    `json:"slots"`
+	ServiceMs  int64  `json:"service_ms"`
+	// LongShare of the requests have class long and run for LongMs.
+	LongShare  float64 `json:"long_share"`
+	LongMs     int64   `json:"long_ms"`
+	DeadlineMs int64   `json:"deadline_ms"`
+	// Rate is in requests per second.
+	Rate float64 `json:"rate"`
+	Keys int     `json:"keys"`
+}
+
+// Events of a phase.
+const (
+	EventFreeze  = "freeze_upstream"
+	EventRestart = "restart_daemon"
+	EventDrain   = "drain_upstream"
+)
+
+// Phase is a part of a plan with its own load.
+type Phase struct {
+	Name    string  `json:"name"`
+	Seconds float64 `json:"seconds"`
+	// RateFactor multiplies the steady rates.
+	RateFactor float64 `json:"rate_factor"`
+	// HotShare of the keyed requests go to the one key HotKey.
+	HotShare float64 `json:"hot_share"`
+	HotKey   int     `json:"hot_key"`
+	// StragglerShare of the work runs StragglerFactor times longer.
+	StragglerShare  float64 `json:"straggler_share"`
+	StragglerFactor float64 `json:"straggler_factor"`
+	// Event happens at the start of the phase; empty for none.
+	Event string `json:"event"`
+}
+
+// Plan is the load of one run.
+type Plan struct {
+	Name           string    `json:"name"`
+	HostsPerCentre int       `json:"hosts_per_centre"`
+	Tenants        []string  `json:"tenants"`
+	Services       []Service `json:"services"`
+	Phases         []Phase   `json:"phases"`
+}
+
+// ReadPlan returns a built-in plan, or reads a JSON file.
+func ReadPlan(name string) (Plan, error) {
+	if p, ok := builtIn()[name]; ok {
+		return p, nil
+	}
+	f, err := os.Open(name)
+	if err != nil {
+		return Plan{}, errors.Wrap(err, "no built-in plan kovacic or cascade, and no file")
+	}
+	defer func() { _ = f.Close() }()
+	d := json.NewDecoder(f)
+	d.DisallowUnknownFields()
+	var p Plan
+	if err := d.Decode(&p); err != nil {
+		return p, errors.Wrap(err, "decode plan")
+	}
+	return p, p.check()
+}
+
+func (p Plan) check() error {
+	seconds, rate, upstreams := 0.0, 0.0, 0
+	for _, s := range p.Services {
+		rate += s.Rate
+		upstreams += s.Upstreams
+		if err := s.check(); err != nil {
+			return err
+		}
+	}
+	for _, x := range p.Phases {
+		seconds += x.Seconds
+		if err := x.check(rate); err != nil {
+			return err
+		}
+	}
+	if len(p.Services) == 0 || len(p.Phases) == 0 || seconds > maxSeconds || upstreams > maxUpstreams {
+		return errors.Errorf("expected services, phases of at most %d s in all and at most %d upstreams", maxSeconds, maxUpstreams)
+	}
+	if p.HostsPerCentre < 1 || p.HostsPerCentre > 4 {
+		return errors.Errorf("hosts_per_centre %d: expected 1 to 4", p.HostsPerCentre)
+	}
+	return nil
+}
+
+func (s Service) check() error {
+	if s.Name == "" || s.Rate < 0 || s.Upstreams < 1 || s.Slots < 1 || s.DeadlineMs < 1 {
+		return errors.Errorf("service %q: expected a name, a rate, upstreams, slots and deadline_ms", s.Name)
+	}
+	if s.Keyed && s.Keys < 1 {
+		return errors.Errorf("service %q: expected keys", s.Name)
+	}
+	return nil
+}
+
+// check takes the steady rate of all services together.
+func (x Phase) check(rate float64) error {
+	if x.Seconds <= 0 || x.RateFactor <= 0 || rate*x.RateFactor > maxRate {
+		return errors.Errorf("phase %q: expected seconds, a rate_factor, and at most %d requests/s", x.Name, maxRate)
+	}
+	switch x.Event {
+	case "", EventFreeze, EventRestart, EventDrain:
+		return nil
+	}
+	return errors.Errorf("phase %q: unknown event %q", x.Name, x.Event)
+}
+
+func ms(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func (p Plan) fleet(binaries, policy string) fleet.Config {
+	c := fleet.Config{
+		Binaries: binaries, Centres: []string{"a", "b", "c"}, HostsPerCentre: p.HostsPerCentre, Policy: policy,
+		BalancerDelay: time.Second,
+	}
+	for _, s := range p.Services {
+		c.Services = append(c.Services, fleet.Service{
+			Name: s.Name, Keyed: s.Keyed, Idempotent: s.Idempotent, Class: s.Class, Ranges: rangesPerUpstream * s.Upstreams,
+			Deadline: ms(s.DeadlineMs), Upstreams: s.Upstreams, Slots: s.Slots, ServiceTime: ms(s.ServiceMs),
+		})
+	}
+	return c
+}
+
+const rangesPerUpstream = 5
+
+// phases is the sequence of both built-in plans: the crest is 4 times the steady load.
+func phases() []Phase {
+	return []Phase{
+		{Name: "steady", Seconds: 4, RateFactor: 1, HotShare: 0.05},
+		{Name: "crest", Seconds: 4, RateFactor: 4, HotShare: 0.05},
+		{Name: "hot_key_shift", Seconds: 4, RateFactor: 1, HotShare: 0.2, HotKey: 1},
+		{Name: "stragglers", Seconds: 4, RateFactor: 1, StragglerShare: 0.02, StragglerFactor: 30},
+		{Name: "freeze", Seconds: 4, RateFactor: 1, Event: EventFreeze},
+		{Name: "restart", Seconds: 4, RateFactor: 1, Event: EventRestart},
+		{Name: "drain", Seconds: 4, RateFactor: 1, Event: EventDrain},
+	}
+}
+
+// builtIn returns the plans of the two deployments with the numbers of upstreams of their present scale. Service
+// times and rates are assumptions, chosen so that the crest takes most of the slots and one machine can carry it.
+func builtIn() map[string]Plan {
+	keyed := Service{
+		Keyed: true, Idempotent: true, Class: "short", Upstreams: 13, Slots: 3, ServiceMs: 20, LongShare: 0.02,
+		LongMs: 200, DeadlineMs: 2000, Rate: 250, Keys: 5000,
+	}
+	once := Service{Class: "short", Upstreams: 10, Slots: 3, ServiceMs: 30, DeadlineMs: 5000, Rate: 40}
+	long := Service{
+		Idempotent: true, Class: "long", Upstreams: 13, Slots: 3, ServiceMs: 100, DeadlineMs: 20_000, Rate: 40,
+	}
+	named := func(s Service, name string, upstreams int) Service {
+		s.Name, s.Upstreams = name, upstreams
+		return s
+	}
+	return map[string]Plan{
+		"kovacic": {
+			Name: "kovacic", HostsPerCentre: 4, Tenants: []string{"boutiques", "stylists"}, Phases: phases(),
+			Services: []Service{named(keyed, "catalogue", 13), named(once, "orders", 10), named(long, "care_sheets", 13)},
+		},
+		"cascade": {
+			Name: "cascade", HostsPerCentre: 4, Tenants: []string{"counters", "night_jobs"}, Phases: phases(),
+			Services: []Service{
+				named(keyed, "quotes_stock", 13), named(once, "releases_billing", 7), named(long, "press_history", 13),
+			},
+		},
+	}
+}
--- a/internal/stub/stub.go
+++ b/internal/stub/stub.go
@@ -52,6 +52,8 @@
 	Epoch uint64 `json:"epoch,omitempty"`
 	// StartNs is the wall clock in nanoseconds since the Unix epoch.
 	StartNs int64 `json:"start_ns"`
+	// ServiceNs is the time that the execution takes.
+	ServiceNs int64 `json:"service_ns"`
 }
 
 // Upstream is a stand-in upstream. It is safe for concurrent use.
@@ -259,7 +261,7 @@
 	}
 	x := Execution{
 		RequestID: r.Header.Get(proto.HeaderRequestID), Upstream: u.cfg.Name, Service: u.cfg.Service,
-		Range: rangeID, Epoch: epoch, StartNs: time.Now().UnixNano(),
+		Range: rangeID, Epoch: epoch, StartNs: time.Now().UnixNano(), ServiceNs: c.service.Nanoseconds(),
 	}
 	if err := u.record(x); err != nil {
 		return 0, c, proto.NotRun(proto.CodeInternal, http.StatusServiceUnavailable, "record: %v", err)
