--- a/internal/fleet/query.go
+++ b/internal/fleet/query.go
@@ -116,17 +116,20 @@
 	type query struct {
 		Version uint64 `json:"version"`
 	}
+	last := errors.New("no replica is running")
 	for i := 0; i < len(f.Hosts); i += f.cfg.HostsPerCentre {
 		h := f.Hosts[i]
 		if !f.Running(h.Name) {
 			continue
 		}
 		// A watch for another version than the present one is answered at once, and by the leader only.
-		if _, err := peer.Call[query, query](ctx, f.client, "http://"+h.Control+peer.PathWatch, "", query{}); err == nil {
+		_, err := peer.Call[query, query](ctx, f.client, "http://"+h.Control+peer.PathWatch, "", query{})
+		if err == nil {
 			return h.Name, nil
 		}
+		last = err
 	}
-	return "", errors.New("no replica leads")
+	return "", errors.Wrap(last, "find the leader")
 }
 
 // Executions reads the records of all upstreams, including those that have ended.
--- /dev/null
+++ b/internal/scene/scene_test.go
@@ -0,0 +1,339 @@
+// Package scene_test runs the scenarios of testdata against fleets of real processes.
+package scene_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"baobabreach/internal/fleet"
+	"baobabreach/internal/load"
+	"baobabreach/internal/stub"
+	"baobabreach/pkg/proto"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// stepLimit is generous: it only ends a step that would never succeed.
+const stepLimit = 30 * time.Second
+
+// turns limits the fleets at one time, so that a busy machine doesn't starve the elections.
+var turns = make(chan struct{}, 2)
+
+// Guards against the faults that each script of testdata names in its first line.
+func TestScenes(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(e *testscript.Env) error {
+			e.Values["scene"] = &scene{orders: map[string]load.Request{}, client: load.NewClient()}
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"fleet": step((*scene).change), "send": step((*scene).send), "order": step((*scene).order),
+			"begin": step((*scene).begin), "load": step((*scene).load), "expect": step((*scene).expect),
+		},
+	})
+}
+
+type scene struct {
+	fleet  *fleet.Fleet
+	client *load.Client
+	random *rand.Rand
+	orders map[string]load.Request
+	last   load.Reply
+	// lostName is the process that was killed or paused last.
+	lostName string
+
+	stopLoad func()
+	mu       sync.Mutex
+	sent     int
+	lost     []string
+}
+
+func step(fn func(*scene, context.Context, *testscript.TestScript, []string) error) func(
+	*testscript.TestScript, bool, []string,
+) {
+	return func(ts *testscript.TestScript, neg bool, args []string) {
+		if neg {
+			ts.Fatalf("steps can't be negated")
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), stepLimit)
+		defer cancel()
+		ts.Check(fn(ts.Value("scene").(*scene), ctx, ts, args))
+	}
+}
+
+func (s *scene) start(ctx context.Context, ts *testscript.TestScript, args []string) error {
+	turns <- struct{}{}
+	ts.Defer(func() { <-turns })
+	n, err := strconv.Atoi(args[1])
+	if err != nil {
+		return err
+	}
+	s.random = rand.New(rand.NewPCG(1, 0))
+	s.fleet, err = fleet.Start(ctx, fleet.Config{
+		Binaries: "../../bin", Centres: []string{"a", "b", "c"}, HostsPerCentre: n, BalancerDelay: time.Second,
+		Services: []fleet.Service{
+			{
+				Name: "catalogue", Keyed: true, Idempotent: true, Class: "short", Ranges: 12, Upstreams: 3, Slots: 3,
+				ServiceTime: 2 * time.Millisecond,
+			},
+			// Orders of class long run long enough to be interrupted.
+			{
+				Name: "orders", Class: "short", Upstreams: 3, Slots: 3, Deadline: 5 * time.Second,
+				ServiceTime: 2 * time.Millisecond, Flags: []string{"--fault-long-ms=1000"},
+			},
+		},
+	})
+	if err == nil {
+		ts.Defer(func() { ts.Check(s.fleet.Close()) })
+	}
+	return err
+}
+
+func (s *scene) caller(host string) string {
+	for _, h := range s.fleet.Hosts {
+		if h.Name == host {
+			return h.Caller
+		}
+	}
+	return ""
+}
+
+func (s *scene) newID() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return load.NewID(s.random)
+}
+
+// send: send HOST KEYS sends every key until it is answered. HOST may be "all", or "others" than the one lost last.
+func (s *scene) send(ctx context.Context, _ *testscript.TestScript, args []string) error {
+	keys, err := strconv.Atoi(args[1])
+	if err != nil {
+		return err
+	}
+	for _, h := range s.fleet.Hosts {
+		if args[0] != h.Name && args[0] != "all" && (args[0] != "others" || h.Name == s.lostName) || !s.fleet.Running(h.Name) {
+			continue
+		}
+		for k := range keys {
+			q := load.Request{Service: "catalogue", Key: fmt.Sprintf("key-%d", k), Deadline: time.Second}
+			if err := fleet.Wait(ctx, func(ctx context.Context) error {
+				q.ID = s.newID()
+				if r := s.client.Send(ctx, h.Caller, q); r.Outcome != proto.OutcomeDone {
+					return fmt.Errorf("%s through %s: %s %s %w", q.Key, h.Name, r.Outcome, r.Code, r.Err)
+				}
+				return nil
+			}); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// order: order NAME HOST sends an order, or resends it with its id, until it is done or unknown.
+func (s *scene) order(ctx context.Context, _ *testscript.TestScript, args []string) error {
+	q, ok := s.orders[args[0]]
+	if !ok {
+		q = load.Request{ID: s.newID(), Service: "orders", Method: http.MethodPost, Body: args[0]}
+		s.orders[args[0]] = q
+	}
+	host := args[1]
+	if host == "others" {
+		for _, h := range s.fleet.Hosts {
+			if h.Name != s.lostName && s.fleet.Running(h.Name) {
+				host = h.Name
+			}
+		}
+	}
+	return fleet.Wait(ctx, func(ctx context.Context) error {
+		s.last = s.client.Send(ctx, s.caller(host), q)
+		if s.last.Outcome == proto.OutcomeNotRun {
+			return fmt.Errorf("order %s through %s: %s %w", args[0], host, s.last.Code, s.last.Err)
+		}
+		return nil
+	})
+}
+
+// begin: begin NAME HOST sends a long order and returns once it runs.
+func (s *scene) begin(ctx context.Context, ts *testscript.TestScript, args []string) error {
+	q := load.Request{ID: s.newID(), Service: "orders", Method: http.MethodPost, Body: args[0], Class: "long"}
+	s.orders[args[0]] = q
+	done := make(chan struct{})
+	ts.Defer(func() { <-done })
+	go func() {
+		defer close(done)
+		s.client.Send(context.Background(), s.caller(args[1]), q)
+	}()
+	return fleet.Wait(ctx, func(context.Context) error { return s.expectRuns(args[0], 1) })
+}
+
+func (s *scene) name(ctx context.Context, arg string) (name string, err error) {
+	if arg == "lost" {
+		return s.lostName, nil
+	}
+	if arg != "leader" {
+		return arg, nil
+	}
+	err = fleet.Wait(ctx, func(ctx context.Context) (err error) {
+		name, err = s.fleet.Leader(ctx)
+		return err
+	})
+	return name, err
+}
+
+// change: fleet start HOSTS-PER-CENTRE | fleet kill|pause|stop|restart NAME | fleet resume NAME | fleet wait
+//
+// NAME may be "leader", or "lost" for the process that was killed or paused last.
+func (s *scene) change(ctx context.Context, ts *testscript.TestScript, args []string) error {
+	if args[0] == "start" {
+		return s.start(ctx, ts, args)
+	}
+	if args[0] == "wait" {
+		return s.fleet.WaitReady(ctx)
+	}
+	n, err := s.name(ctx, args[1])
+	if err != nil {
+		return err
+	}
+	switch args[0] {
+	case "kill":
+		s.lostName = n
+		return s.fleet.Kill(n)
+	case "pause":
+		s.lostName = n
+		return s.fleet.Pause(n)
+	case "resume":
+		return s.fleet.Resume(n)
+	case "stop":
+		return s.fleet.Stop(ctx, n)
+	case "restart":
+		return s.fleet.Restart(n)
+	}
+	return fmt.Errorf("unknown change %q", args[0])
+}
+
+// load: load start | load stop
+func (s *scene) load(ctx context.Context, _ *testscript.TestScript, args []string) error {
+	if args[0] == "stop" {
+		s.stopLoad()
+		return nil
+	}
+	running, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for i, h := range s.fleet.Hosts {
+		wg.Go(func() { s.loadHost(running, h, i) })
+	}
+	s.stopLoad = func() {
+		cancel()
+		wg.Wait()
+	}
+	return fleet.Wait(ctx, func(context.Context) error {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.sent < 20*len(s.fleet.Hosts) {
+			return fmt.Errorf("%d requests were answered", s.sent)
+		}
+		return nil
+	})
+}
+
+// loadHost sends to a host while it says that it is ready, as a load balancer does.
+func (s *scene) loadHost(ctx context.Context, h fleet.Host, i int) {
+	ready := http.Client{Timeout: time.Second}
+	for ctx.Err() == nil {
+		if resp, err := ready.Get("http://" + h.Caller + "/readyz"); err != nil {
+			return
+		} else if _ = resp.Body.Close(); resp.StatusCode != http.StatusOK {
+			return
+		}
+		q := load.Request{ID: s.newID(), Service: "catalogue", Key: fmt.Sprint(i)}
+		if i%2 == 0 {
+			q = load.Request{ID: q.ID, Service: "orders", Method: http.MethodPost, Class: "long"}
+		}
+		r := s.client.Send(context.Background(), h.Caller, q)
+		s.mu.Lock()
+		s.sent++
+		if r.Err != nil || r.Outcome == proto.OutcomeUnknown {
+			s.lost = append(s.lost, fmt.Sprintf("%s through %s: %s %v", q.ID, h.Name, r.Code, r.Err))
+		}
+		s.mu.Unlock()
+	}
+}
+
+// expect: expect runs ORDER N | expect outcome OUTCOME | expect fresh | expect lossless
+func (s *scene) expect(_ context.Context, _ *testscript.TestScript, args []string) error {
+	switch args[0] {
+	case "runs":
+		n, err := strconv.Atoi(args[2])
+		if err != nil {
+			return err
+		}
+		return s.expectRuns(args[1], n)
+	case "outcome":
+		if string(s.last.Outcome) != args[1] {
+			return fmt.Errorf("the last outcome is %s %s, expected %s", s.last.Outcome, s.last.Code, args[1])
+		}
+		return nil
+	case "fresh":
+		return s.expectFresh()
+	case "lossless":
+		if len(s.lost) > 0 {
+			return fmt.Errorf("%d of %d requests were lost: %s", len(s.lost), s.sent, s.lost[0])
+		}
+		return nil
+	}
+	return fmt.Errorf("unknown expectation %q", args[0])
+}
+
+func (s *scene) expectRuns(order string, want int) error {
+	xs, err := s.fleet.Executions()
+	n := 0
+	for _, x := range xs {
+		if x.RequestID == s.orders[order].ID {
+			n++
+		}
+	}
+	if err == nil && n != want {
+		err = fmt.Errorf("order %s ran %d times, expected %d", order, n, want)
+	}
+	return err
+}
+
+// expectFresh fails if two upstreams ran one epoch of a range, or an epoch after a later one.
+func (s *scene) expectFresh() error {
+	xs, err := s.fleet.Executions()
+	if err != nil {
+		return err
+	}
+	type fence struct{ id, epoch uint64 }
+	owner, first := map[fence]string{}, map[fence]int64{}
+	for _, x := range xs {
+		f := fence{x.Range, x.Epoch}
+		if o, ok := owner[f]; ok && o != x.Upstream && x.Epoch > 0 {
+			return fmt.Errorf("%s and %s both ran range %d epoch %d", o, x.Upstream, x.Range, x.Epoch)
+		}
+		if at, ok := first[f]; !ok || x.StartNs < at {
+			first[f] = x.StartNs
+		}
+		owner[f] = x.Upstream
+	}
+	for _, x := range xs {
+		for f, at := range first {
+			if f.id == x.Range && f.epoch > x.Epoch && x.StartNs > at {
+				return fmt.Errorf("stale run: %s", describe(x))
+			}
+		}
+	}
+	return nil
+}
+
+func describe(x stub.Execution) string {
+	return fmt.Sprintf("%s on %s, range %d epoch %d", x.RequestID, x.Upstream, x.Range, x.Epoch)
+}
