--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -35,6 +35,7 @@
 	Status  statusCmd  `cmd:"" help:"Show services, owners, moves, replicas and daemons."`
 	Explain explainCmd `cmd:"" help:"Show why a request, key or upstream was treated as it was."`
 	Check   checkCmd   `cmd:"" help:"Check a settings file without starting."`
+	Load    loadCmd    `cmd:"" help:"Generate load on loopback and report latencies and goodput."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
