--- a/internal/raft/elect.go
+++ b/internal/raft/elect.go
@@ -13,7 +13,7 @@
 		kind = MsgVote
 		m.setHard(HardState{Term: term, Vote: m.cfg.ID})
 	}
-	for _, v := range m.members.Voters {
+	for _, v := range m.Members().Voters {
 		if v.ID != m.cfg.ID {
 			m.sendAs(term, Message{Type: kind, To: v.ID, LogIndex: m.lastIndex(), LogTerm: m.lastTerm()})
 		}
@@ -22,7 +22,7 @@
 }
 
 func (m *Machine) onPreVote(now time.Duration, msg Message) {
-	if m.refusesElection(now) {
+	if m.rules.refuses(m, now) {
 		return
 	}
 	if msg.Term <= m.hard.Term || !m.isFresh(msg) {
@@ -33,7 +33,7 @@
 }
 
 func (m *Machine) onVote(now time.Duration, msg Message) {
-	if m.refusesElection(now) {
+	if m.rules.refuses(m, now) {
 		return
 	}
 	if msg.Term > m.hard.Term {
@@ -70,12 +70,12 @@
 // countVotes moves a candidate on once a majority of the voters agreed.
 func (m *Machine) countVotes(now time.Duration) {
 	n := 0
-	for _, v := range m.members.Voters {
+	for _, v := range m.Members().Voters {
 		if m.votes[v.ID] {
 			n++
 		}
 	}
-	if n < len(m.members.Voters)/2+1 {
+	if n < len(m.Members().Voters)/2+1 {
 		return
 	}
 	if m.preVote {
@@ -89,6 +89,7 @@
 	m.role = RoleLeader
 	m.leader = m.cfg.ID
 	m.peers = map[string]*progress{}
+	m.electedAt = now
 	m.termStart = m.appendOwn(Entry{Kind: EntryNoop}).Index
 	m.broadcast(now)
 }
@@ -108,7 +109,7 @@
 // refusesElection tells whether a leader may still hold a lease that this replica helped to grant.
 func (m *Machine) refusesElection(now time.Duration) bool {
 	if m.role == RoleLeader {
-		return now < m.LeaseUntil()
+		return now < m.leaseEnd()
 	}
 	return now-m.leaderContact < m.cfg.ElectionMin
 }
--- a/internal/raft/log.go
+++ b/internal/raft/log.go
@@ -8,12 +8,12 @@
 func (m *Machine) onAppend(now time.Duration, msg Message) {
 	m.followLeader(now, msg)
 	if msg.LogIndex < m.baseIndex {
+		// Everything up to the commit index agrees with every leader of this or a later term.
 		m.send(Message{Type: MsgAppendReply, To: msg.From, Match: m.commit, Granted: true, SentAt: msg.SentAt})
 		return
 	}
 	if msg.LogIndex > m.lastIndex() || m.termAt(msg.LogIndex) != msg.LogTerm {
-		hint := min(m.lastIndex(), msg.LogIndex-1)
-		m.send(Message{Type: MsgAppendReply, To: msg.From, Match: max(hint, m.commit), SentAt: msg.SentAt})
+		m.send(Message{Type: MsgAppendReply, To: msg.From, Match: m.retryFrom(msg.LogIndex), SentAt: msg.SentAt})
 		return
 	}
 	for i, e := range msg.Entries {
@@ -28,12 +28,26 @@
 	m.send(Message{Type: MsgAppendReply, To: msg.From, Granted: true, Match: match, SentAt: msg.SentAt})
 }
 
+// retryFrom returns the highest index that may agree with the leader after a mismatch at index. It skips all
+// entries of the conflicting term, so that a long divergent tail costs one round trip per term, not per entry.
+func (m *Machine) retryFrom(index uint64) uint64 {
+	if index > m.lastIndex() {
+		return m.lastIndex()
+	}
+	term := m.termAt(index)
+	for index > m.commit && index > m.baseIndex && m.termAt(index) == term {
+		index--
+	}
+	return max(index, m.commit)
+}
+
 // appendReplicated replaces the tail of the log from the first entry on.
 func (m *Machine) appendReplicated(entries []Entry) {
 	first := entries[0].Index
-	m.log = append(slices.Clone(m.log[:first-m.baseIndex-1]), entries...)
+	m.log = append(m.log[:first-m.baseIndex-1], entries...)
+	m.dropChangesFrom(first)
+	m.recordChanges(entries)
 	m.queueEntries(entries)
-	m.reloadMembers()
 }
 
 func (m *Machine) onAppendReply(now time.Duration, msg Message) {
@@ -43,14 +57,20 @@
 	}
 	p.ackedAt = max(p.ackedAt, msg.SentAt)
 	if !msg.Granted {
-		p.next = max(p.match+1, msg.Match+1)
-		m.sendAppend(now, msg.From)
+		// While a snapshot is under way, a rejection only confirms that it has not arrived.
+		if p.snapshotIndex == 0 {
+			p.next = max(p.match+1, msg.Match+1)
+			m.sendAppend(now, msg.From)
+		}
 		return
 	}
 	p.match = max(p.match, msg.Match)
 	p.next = max(p.next, p.match+1)
-	m.advanceCommit()
-	if p.next <= m.lastIndex() {
+	if p.match >= p.snapshotIndex {
+		p.snapshotIndex = 0
+	}
+	m.advanceCommit(now)
+	if m.role == RoleLeader && p.snapshotIndex == 0 && p.next <= m.lastIndex() {
 		m.sendAppend(now, msg.From)
 	}
 }
@@ -62,9 +82,16 @@
 		m.send(Message{Type: MsgSnapshotReply, To: msg.From, Match: m.commit, SentAt: msg.SentAt})
 		return
 	}
-	m.log = nil
-	m.baseIndex, m.baseTerm, m.baseMembers, m.members, m.snapshot = s.Index, s.Term, s.Members, s.Members, s
+	if s.Index <= m.lastIndex() && m.termAt(s.Index) == s.Term {
+		// The log agrees up to the snapshot. Entries after it may have been acknowledged and must stay.
+		m.commit = s.Index
+		m.send(Message{Type: MsgSnapshotReply, To: msg.From, Match: s.Index, SentAt: msg.SentAt})
+		return
+	}
+	m.log, m.changes = nil, nil
+	m.baseIndex, m.baseTerm, m.baseMembers, m.snapshot = s.Index, s.Term, s.Members, s
 	m.commit, m.delivered = s.Index, s.Index
+	m.synced, m.taken = 0, 0
 	m.out.Restore, m.out.Entries, m.out.Committed = s, nil, nil
 	m.send(Message{Type: MsgSnapshotReply, To: msg.From, Match: s.Index, SentAt: msg.SentAt})
 }
@@ -83,13 +110,16 @@
 // broadcast sends a heartbeat with whatever entries each replica lacks.
 func (m *Machine) broadcast(now time.Duration) {
 	m.lastBeat = now
-	for _, v := range m.members.All() {
+	m.unsent = false
+	for _, v := range m.Members().All() {
 		if v.ID != m.cfg.ID {
 			m.sendAppend(now, v.ID)
 		}
 	}
 }
 
+// sendAppend sends the next entries and assumes that they arrive. A lost message is noticed by the rejection of
+// the next one, at the latest of the next heartbeat.
 func (m *Machine) sendAppend(now time.Duration, id string) {
 	p := m.peers[id]
 	if p == nil {
@@ -97,23 +127,35 @@
 		m.peers[id] = p
 	}
 	if p.next <= m.baseIndex {
-		m.send(Message{Type: MsgSnapshot, To: id, Snapshot: m.snapshot, SentAt: now})
-		p.next = m.baseIndex + 1
+		m.sendSnapshot(now, id, p)
 		return
 	}
 	prev := p.next - 1
-	last := min(m.lastIndex(), prev+maxEntriesPerMessage)
+	last := min(m.lastIndex(), prev+m.rules.batch)
 	entries := slices.Clone(m.log[prev-m.baseIndex : last-m.baseIndex])
+	p.next = last + 1
 	m.send(Message{
 		Type: MsgAppend, To: id, LogIndex: prev, LogTerm: m.termAt(prev),
 		Entries: entries, Commit: m.commit, SentAt: now,
 	})
 }
 
-// advanceCommit commits entries of the own term that a majority has synced.
-func (m *Machine) advanceCommit() {
-	matches := make([]uint64, 0, len(m.members.Voters))
-	for _, v := range m.members.Voters {
+// sendSnapshot sends the snapshot once per snapshotRetry, and otherwise a heartbeat that matches any log.
+func (m *Machine) sendSnapshot(now time.Duration, id string, p *progress) {
+	if p.snapshotIndex > 0 && now-p.snapshotAt < snapshotRetry {
+		m.send(Message{Type: MsgAppend, To: id, SentAt: now})
+		return
+	}
+	p.snapshotIndex, p.snapshotAt = m.snapshot.Index, now
+	m.send(Message{Type: MsgSnapshot, To: id, Snapshot: m.snapshot, SentAt: now})
+}
+
+// advanceCommit commits entries of the own term that a majority has synced. A leader that is no voter any more
+// steps down once its removal is committed.
+func (m *Machine) advanceCommit(now time.Duration) {
+	members := m.Members()
+	matches := make([]uint64, 0, len(members.Voters))
+	for _, v := range members.Voters {
 		matches = append(matches, m.MatchOf(v.ID))
 	}
 	if len(matches) == 0 {
@@ -121,14 +163,19 @@
 	}
 	slices.Sort(matches)
 	index := matches[(len(matches)-1)/2]
-	if index > m.commit && m.termAt(index) == m.hard.Term {
-		m.commit = index
+	if index <= m.commit || !m.rules.commits(m, m.termAt(index)) {
+		return
+	}
+	m.commit = index
+	if !members.IsVoter(m.cfg.ID) && !m.changePending() {
+		m.becomeFollower(now, m.hard.Term, "")
 	}
 }
 
 func (m *Machine) appendOwn(e Entry) Entry {
 	e.Index, e.Term = m.lastIndex()+1, m.hard.Term
 	m.log = append(m.log, e)
+	m.recordChanges([]Entry{e})
 	m.queueEntries([]Entry{e})
 	return e
 }
@@ -137,6 +184,7 @@
 func (m *Machine) queueEntries(entries []Entry) {
 	first := entries[0].Index
 	m.synced = min(m.synced, first-1)
+	m.taken = min(m.taken, first-1)
 	i := slices.IndexFunc(m.out.Entries, func(e Entry) bool { return e.Index >= first })
 	if i >= 0 {
 		m.out.Entries = m.out.Entries[:i]
@@ -157,47 +205,9 @@
 
 func (m *Machine) entry(index uint64) Entry { return m.log[index-m.baseIndex-1] }
 
-// reloadMembers takes the newest member list of the log.
-func (m *Machine) reloadMembers() {
-	m.members = m.membersAt(m.lastIndex())
-}
-
-func (m *Machine) membersAt(index uint64) Members {
-	for i := index; i > m.baseIndex; i-- {
-		if e := m.entry(i); e.Kind == EntryMembers && e.Members != nil {
-			return *e.Members
-		}
-	}
-	return m.baseMembers
-}
-
-func (m *Machine) membersIndex() uint64 {
-	for i := m.lastIndex(); i > m.baseIndex; i-- {
-		if m.entry(i).Kind == EntryMembers {
-			return i
-		}
-	}
-	return m.baseIndex
-}
-
 func (m *Machine) send(msg Message) { m.sendAs(m.hard.Term, msg) }
 
 func (m *Machine) sendAs(term uint64, msg Message) {
 	msg.From, msg.Term = m.cfg.ID, term
 	m.out.Messages = append(m.out.Messages, msg)
 }
-
-func voterDistance(a, b Members) int {
-	n := 0
-	for _, v := range a.Voters {
-		if !b.IsVoter(v.ID) {
-			n++
-		}
-	}
-	for _, v := range b.Voters {
-		if !a.IsVoter(v.ID) {
-			n++
-		}
-	}
-	return n
-}
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -9,8 +9,15 @@
 	"github.com/go-faster/errors"
 )
 
-// maxEntriesPerMessage bounds the size of an append message.
-const maxEntriesPerMessage = 256
+const (
+	// maxEntriesPerMessage bounds the size of an append message.
+	maxEntriesPerMessage = 256
+	// snapshotRetry is the time after which a snapshot without a reply is sent again. A snapshot of tens of
+	// megabytes takes longer than a heartbeat to send, sync and confirm.
+	snapshotRetry = 2 * time.Second
+	// entryOverhead is about what an entry costs on the wire besides its data.
+	entryOverhead = 64
+)
 
 // ErrNotLeader is returned by Propose on a replica that can't commit.
 var ErrNotLeader = errors.New("not the leader")
@@ -22,23 +29,42 @@
 	next, match uint64
 	// ackedAt is the latest SentAt that the replica echoed in this term.
 	ackedAt time.Duration
+	// snapshotIndex is that of a snapshot sent at snapshotAt and not confirmed yet, or 0.
+	snapshotIndex uint64
+	snapshotAt    time.Duration
+}
+
+// rules are the safety rules that tests replace to show that each of them is needed.
+type rules struct {
+	// refuses tells whether a vote or pre-vote must be refused, whatever the candidate's log.
+	refuses func(m *Machine, now time.Duration) bool
+	// commits tells whether an entry of term may be committed by counting replicas.
+	commits func(m *Machine, term uint64) bool
+	// leaseLength is the length of the leader lease from the send of the heartbeat, on the leader's clock.
+	leaseLength time.Duration
+	// batch is the largest number of entries in one message.
+	batch uint64
 }
 
 // Machine is one replica. It is not safe for concurrent use.
 type Machine struct {
-	cfg     Config
-	role    Role
-	hard    HardState
-	members Members
-	// baseIndex and baseTerm describe the last entry covered by the snapshot; log starts right after it.
+	cfg   Config
+	rules rules
+	role  Role
+	hard  HardState
+	// baseIndex and baseTerm describe the entry before the first of log. They are at or before the snapshot:
+	// entries that together are smaller than the snapshot are kept for replicas that lag a little.
 	baseIndex, baseTerm uint64
 	baseMembers         Members
-	snapshot            *Snapshot
-	log                 []Entry
-	// synced is the last index on disk; only synced entries count for the leader's own vote.
-	synced    uint64
-	commit    uint64
-	delivered uint64
+	// changes holds the member lists of log in order; the last one is in force.
+	changes  []change
+	snapshot *Snapshot
+	log      []Entry
+	// taken is the last index handed out by Take; synced is the last one on disk. Only synced entries count for
+	// the leader's own vote.
+	taken, synced uint64
+	commit        uint64
+	delivered     uint64
 
 	leader string
 	// leaderContact is the time of the last message of a leader, or the start. It decides whether a vote is refused.
@@ -50,6 +76,10 @@
 	preVote       bool
 	peers         map[string]*progress
 	lastBeat      time.Duration
+	electedAt     time.Duration
+	// unsent tells that entries were appended after the last broadcast; proposedAt is the time of the first one.
+	unsent     bool
+	proposedAt time.Duration
 	// termStart is the index of the leader's own no-op entry.
 	termStart uint64
 
@@ -58,14 +88,18 @@
 
 // New returns a follower with what the disk held.
 func New(cfg Config) *Machine {
-	m := &Machine{cfg: cfg, role: RoleFollower, hard: cfg.Hard, members: cfg.Members, baseMembers: cfg.Members}
+	m := &Machine{cfg: cfg, role: RoleFollower, hard: cfg.Hard, baseMembers: cfg.Members}
+	m.rules = rules{
+		refuses: (*Machine).refusesElection, commits: func(m *Machine, term uint64) bool { return term == m.hard.Term },
+		leaseLength: cfg.ElectionMin * 100 / (100 + proto.DriftMarginPercent), batch: maxEntriesPerMessage,
+	}
 	if s := cfg.Snapshot; s != nil {
-		m.baseIndex, m.baseTerm, m.members, m.baseMembers = s.Index, s.Term, s.Members, s.Members
+		m.baseIndex, m.baseTerm, m.baseMembers = s.Index, s.Term, s.Members
 		m.commit, m.delivered, m.snapshot = s.Index, s.Index, s
 	}
 	m.log = slices.Clone(cfg.Log)
-	m.synced = m.lastIndex()
-	m.reloadMembers()
+	m.recordChanges(m.log)
+	m.synced, m.taken = m.lastIndex(), m.lastIndex()
 	m.leaderContact = cfg.Now
 	m.resetElection(cfg.Now)
 	return m
@@ -74,45 +108,71 @@
 // Tick advances the time.
 func (m *Machine) Tick(now time.Duration) {
 	if m.role == RoleLeader {
-		if now-m.lastBeat >= m.cfg.Heartbeat {
-			m.broadcast(now)
-		}
+		m.tickLeader(now)
 		return
 	}
-	if m.members.IsVoter(m.cfg.ID) && now-m.timerStart >= m.electionAfter {
+	if m.Members().IsVoter(m.cfg.ID) && now-m.timerStart >= m.electionAfter {
 		m.campaign(now, true)
 	}
 }
 
+func (m *Machine) tickLeader(now time.Duration) {
+	at, ok := m.quorumAck()
+	if !ok || at < m.electedAt {
+		at = m.electedAt
+	}
+	if now-at >= m.cfg.ElectionMax {
+		// A leader that hears no majority must stop its heartbeats: with a one-way cut they still arrive and would
+		// keep the others from electing a leader that can commit.
+		m.becomeFollower(now, m.hard.Term, "")
+		return
+	}
+	if now-m.lastBeat >= m.cfg.Heartbeat {
+		m.broadcast(now)
+	}
+}
+
 // Propose appends an entry on the leader and returns its index.
 func (m *Machine) Propose(now time.Duration, data []byte) (uint64, error) {
-	if m.role != RoleLeader || now >= m.LeaseUntil() {
+	if now >= m.LeaseUntil() {
 		return 0, ErrNotLeader
 	}
 	e := m.appendOwn(Entry{Kind: EntryCommand, Data: data})
-	m.broadcast(now)
+	m.markUnsent(now)
 	return e.Index, nil
 }
 
-// ProposeMembers appends a new member list. It must differ by at most one voter from the present one.
+// ProposeMembers appends a new member list. It must differ by at most one voter from the present one, and a new
+// voter must have been a learner that has synced every committed entry.
 func (m *Machine) ProposeMembers(now time.Duration, members Members) (uint64, error) {
-	if m.role != RoleLeader || now >= m.LeaseUntil() {
+	if now >= m.LeaseUntil() {
 		return 0, ErrNotLeader
 	}
-	if m.commit < m.termStart || m.membersIndex() > m.commit {
+	if m.changePending() {
 		return 0, ErrChangePending
 	}
-	if voterDistance(m.members, members) > 1 {
-		return 0, errors.New("members must change by one voter at a time")
+	if err := m.checkChange(members); err != nil {
+		return 0, err
 	}
 	e := m.appendOwn(Entry{Kind: EntryMembers, Members: &members})
-	m.reloadMembers()
-	m.broadcast(now)
+	m.markUnsent(now)
 	return e.Index, nil
 }
 
+// markUnsent lets the next Take send the appended entries, so that a batch of proposals makes one message.
+func (m *Machine) markUnsent(now time.Duration) {
+	if !m.unsent {
+		m.unsent, m.proposedAt = true, now
+	}
+}
+
 // Step handles a message of another replica.
+//
+// A message for another identity is dropped: it was meant for a disk that this host has lost.
 func (m *Machine) Step(now time.Duration, msg Message) {
+	if msg.To != m.cfg.ID {
+		return
+	}
 	switch msg.Type {
 	case MsgPreVote:
 		m.onPreVote(now, msg)
@@ -126,7 +186,9 @@
 	}
 	if msg.Term < m.hard.Term {
 		if msg.Type == MsgAppend || msg.Type == MsgSnapshot {
-			m.send(Message{Type: MsgAppendReply, To: msg.From, Match: m.lastIndex(), SentAt: msg.SentAt})
+			// Without SentAt: the sender may lead a later term by now, possibly after a restart that reset its clock,
+			// and must not take this as an acknowledgement of its present lease.
+			m.send(Message{Type: MsgAppendReply, To: msg.From, Match: m.commit})
 		}
 		return
 	}
@@ -149,10 +211,15 @@
 
 // Take returns the effects gathered since the last call.
 func (m *Machine) Take() Effects {
+	if m.unsent && m.role == RoleLeader {
+		// The time of the oldest unsent proposal is at or before the send, so a lease that counts from it is not longer.
+		m.broadcast(m.proposedAt)
+	}
 	for m.delivered < m.commit {
 		m.delivered++
 		m.out.Committed = append(m.out.Committed, m.entry(m.delivered))
 	}
+	m.taken = m.lastIndex()
 	out := m.out
 	m.out = Effects{}
 	return out
@@ -160,60 +227,74 @@
 
 // Persisted tells that everything returned by Take so far is on disk.
 func (m *Machine) Persisted() {
-	if len(m.out.Entries) > 0 {
-		m.synced = m.out.Entries[0].Index - 1
-	} else {
-		m.synced = m.lastIndex()
-	}
+	m.synced = m.taken
 	if m.role == RoleLeader {
-		m.advanceCommit()
+		m.advanceCommit(m.lastBeat)
 	}
 }
 
-// Compact records that the state machine up to index is in a snapshot and drops those entries.
+// Compact records that the state machine up to index is in a snapshot and drops the entries before it, except for
+// as many as are together smaller than the snapshot: sending those is cheaper to a replica that lags a little.
 func (m *Machine) Compact(index uint64, data []byte) (Snapshot, bool) {
-	if index <= m.baseIndex || index > m.delivered {
+	if index <= m.BaseIndex() || index > m.delivered {
 		return Snapshot{}, false
 	}
-	members := m.membersAt(index)
-	s := Snapshot{Index: index, Term: m.termAt(index), Members: members, Data: data}
-	m.log = slices.Clone(m.log[index-m.baseIndex:])
-	m.baseIndex, m.baseTerm, m.baseMembers, m.snapshot = s.Index, s.Term, members, &s
+	s := Snapshot{Index: index, Term: m.termAt(index), Members: m.membersAt(index), Data: data}
+	m.snapshot = &s
+	keep, size := index, 0
+	for keep > m.baseIndex {
+		size += len(m.entry(keep).Data) + entryOverhead
+		if size > len(data) {
+			break
+		}
+		keep--
+	}
+	members, term := m.membersAt(keep), m.termAt(keep)
+	m.changes = slices.DeleteFunc(m.changes, func(c change) bool { return c.index <= keep })
+	m.log = slices.Clone(m.log[keep-m.baseIndex:])
+	m.baseIndex, m.baseTerm, m.baseMembers = keep, term, members
 	return s, true
 }
 
-// LeaseUntil returns the end of the leader lease, or 0 if the replica may not act as the leader.
+// LeaseUntil returns the end of the leader lease, or 0 if the replica may not act as the leader: it does not lead,
+// has not committed an entry of its own term, or lacks acknowledgements.
 // The replica may act only while the time is before the result.
 func (m *Machine) LeaseUntil() time.Duration {
-	if m.role != RoleLeader {
+	if !m.Ready() {
 		return 0
 	}
-	acks := make([]time.Duration, 0, len(m.members.Voters))
-	for _, v := range m.members.Voters {
-		if v.ID == m.cfg.ID {
-			continue
-		}
-		if p := m.peers[v.ID]; p != nil {
+	return m.leaseEnd()
+}
+
+func (m *Machine) leaseEnd() time.Duration {
+	at, ok := m.quorumAck()
+	if m.role != RoleLeader || !ok {
+		return 0
+	}
+	return at + m.rules.leaseLength
+}
+
+// quorumAck returns the latest send time that a majority of the voters has acknowledged in this term.
+func (m *Machine) quorumAck() (time.Duration, bool) {
+	members := m.Members()
+	acks := make([]time.Duration, 0, len(members.Voters))
+	for _, v := range members.Voters {
+		if p := m.peers[v.ID]; p != nil && p.ackedAt > 0 {
 			acks = append(acks, p.ackedAt)
 		}
 	}
-	need := len(m.members.Voters)/2 + 1
-	if m.members.IsVoter(m.cfg.ID) {
+	need := len(members.Voters)/2 + 1
+	if members.IsVoter(m.cfg.ID) {
 		need--
 	}
-	length := m.cfg.ElectionMin * 100 / (100 + proto.DriftMarginPercent)
 	if need == 0 {
-		return m.lastBeat + length
+		return m.lastBeat, true
 	}
 	if len(acks) < need {
-		return 0
+		return 0, false
 	}
 	slices.Sort(acks)
-	at := acks[len(acks)-need]
-	if at == 0 {
-		return 0
-	}
-	return at + length
+	return acks[len(acks)-need], true
 }
 
 // Ready tells whether the leader has committed an entry of its own term.
@@ -230,9 +311,6 @@
 // Leader returns the identity of the leader of the present term, or "".
 func (m *Machine) Leader() string { return m.leader }
 
-// Members returns the present member list.
-func (m *Machine) Members() Members { return m.members }
-
 // Commit returns the index of the last committed entry.
 func (m *Machine) Commit() uint64 { return m.commit }
 
@@ -240,10 +318,15 @@
 func (m *Machine) LastIndex() uint64 { return m.lastIndex() }
 
 // Tail returns the entries after the snapshot.
-func (m *Machine) Tail() []Entry { return slices.Clone(m.log) }
+func (m *Machine) Tail() []Entry { return slices.Clone(m.log[m.BaseIndex()-m.baseIndex:]) }
 
 // BaseIndex returns the index of the last entry covered by the snapshot.
-func (m *Machine) BaseIndex() uint64 { return m.baseIndex }
+func (m *Machine) BaseIndex() uint64 {
+	if m.snapshot == nil {
+		return m.baseIndex
+	}
+	return m.snapshot.Index
+}
 
 // MatchOf returns the last index that the replica is known to have on disk; on the leader only.
 func (m *Machine) MatchOf(id string) uint64 {
