--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -1,14 +1,13 @@
 // Package store keeps the replicated log of one replica in a data folder. Everything returned by Open was synced.
+//
+// The folder holds an identity, a snapshot and a single log, all made of checksummed records. The log starts with a
+// record that names the disk and the snapshot it follows. A cut-off record at the end of the log was never
+// acknowledged and is dropped; any other damage makes Open return ErrCorrupt.
 package store
 
 import (
-	"bytes"
 	"crypto/rand"
-	"encoding/binary"
 	"encoding/hex"
-	"encoding/json"
-	"hash/crc32"
-	"io"
 	"os"
 	"path/filepath"
 
@@ -19,23 +18,16 @@
 )
 
 const (
-	identityName = "identity.json"
+	identityName = "identity"
 	logName      = "log"
-	snapshotName = "snapshot.json"
-	headerBytes  = 8
-	// maxRecordBytes rejects a length that no writer produces.
-	maxRecordBytes = 64 << 20
+	snapshotName = "snapshot"
+	tmpSuffix    = ".tmp"
 )
 
-// ErrCorrupt means that synced data is damaged. The replica must not start on it.
-var ErrCorrupt = errors.New("data folder is corrupt")
-
-var crcTable = crc32.MakeTable(crc32.Castagnoli)
-
 // Identity names the disk. A lost disk never returns under the same ID.
 type Identity struct {
 	ID string `json:"id"`
-	// Members is the first member list, written once the group has formed.
+	// Members is the member list at the time the disk became a member, written once the group has formed.
 	Members *raft.Members `json:"members,omitempty"`
 }
 
@@ -47,23 +39,51 @@
 	Snapshot *raft.Snapshot
 }
 
-// Store writes the data folder. It is not safe for concurrent use. After an error it must not be used again.
+// Files holds the file operations that can fail; tests replace them.
+type Files struct {
+	Write  func(f *os.File, b []byte) (int, error)
+	Sync   func(f *os.File) error
+	Rename func(from, to string) error
+}
+
+// Disk returns the operations of the operating system.
+func Disk() Files {
+	return Files{Write: (*os.File).Write, Sync: (*os.File).Sync, Rename: os.Rename}
+}
+
+// Store writes the data folder. It is not safe for concurrent use.
 type Store struct {
-	dir  string
-	file *os.File
+	dir   string
+	files Files
+	id    string
+	file  *os.File
+	// failed is the first error of a write. Nothing is written after it: a failed sync may have dropped pages that
+	// a second sync would report as written, and a record after a partial one could not be read.
+	failed error
 }
 
 type record struct {
+	Start   *start          `json:"start,omitempty"`
 	Hard    *raft.HardState `json:"hard,omitempty"`
 	Entries []raft.Entry    `json:"entries,omitempty"`
 }
 
+// start is the first record of a log.
+type start struct {
+	ID string `json:"id"`
+	// Base is the index of the snapshot that the log follows.
+	Base uint64 `json:"base"`
+}
+
 // Open reads the data folder, creating it if it is missing, and cuts off a torn last record.
-func Open(dir string) (*Store, Loaded, error) {
+func Open(dir string) (*Store, Loaded, error) { return OpenWith(dir, Disk()) }
+
+// OpenWith is Open with the given file operations.
+func OpenWith(dir string, files Files) (*Store, Loaded, error) {
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, Loaded{}, errors.Wrap(err, "create data folder")
 	}
-	s := &Store{dir: dir}
+	s := &Store{dir: dir, files: files}
 	l, err := s.load()
 	if err != nil {
 		return nil, Loaded{}, errors.Wrapf(err, "load %s", dir)
@@ -73,38 +93,31 @@
 
 // SaveIdentity replaces the identity file.
 func (s *Store) SaveIdentity(id Identity) error {
-	return s.writeFile(identityName, id)
+	return s.guard(func() error { return s.replace(identityName, id) })
 }
 
 // Save appends to the log and syncs it. Entries replace any stored entry from the first index on.
 func (s *Store) Save(hard *raft.HardState, entries []raft.Entry) error {
-	b, err := encodeRecord(record{Hard: hard, Entries: entries})
-	if err != nil {
-		return err
-	}
-	if _, err := s.file.Write(b); err != nil {
-		return errors.Wrap(err, "write log")
-	}
-	return errs.Wrap(s.file.Sync(), "sync log")
+	return s.guard(func() error {
+		b, err := encode(record{Hard: hard, Entries: entries})
+		if err != nil {
+			return err
+		}
+		if _, err := s.files.Write(s.file, b); err != nil {
+			return errors.Wrap(err, "write log")
+		}
+		return errs.Wrap(s.files.Sync(s.file), "sync log")
+	})
 }
 
 // SaveSnapshot writes a snapshot and replaces the log by the entries after it.
 func (s *Store) SaveSnapshot(snap raft.Snapshot, hard raft.HardState, tail []raft.Entry) error {
-	if err := s.writeFile(snapshotName, snap); err != nil {
-		return errors.Wrap(err, "write snapshot")
-	}
-	b, err := encodeRecord(record{Hard: &hard, Entries: tail})
-	if err != nil {
-		return err
-	}
-	if err := s.replace(logName, b); err != nil {
-		return errors.Wrap(err, "replace log")
-	}
-	old := s.file
-	if err := s.openLog(); err != nil {
-		return err
-	}
-	return errs.Wrap(old.Close(), "close old log")
+	return s.guard(func() error {
+		if err := s.replace(snapshotName, snap); err != nil {
+			return errors.Wrap(err, "save snapshot")
+		}
+		return s.rewrite(snap.Index, hard, tail)
+	})
 }
 
 // Close closes the log.
@@ -112,176 +125,212 @@
 	return errs.Wrap(s.file.Close(), "close log")
 }
 
+func (s *Store) guard(write func() error) error {
+	if s.failed != nil {
+		return errors.Wrap(s.failed, "store stopped after an earlier failure")
+	}
+	s.failed = write()
+	return s.failed
+}
+
 func (s *Store) load() (Loaded, error) {
 	var l Loaded
-	if err := s.loadIdentity(&l); err != nil {
+	for _, n := range []string{identityName, logName, snapshotName} {
+		if err := os.Remove(s.path(n + tmpSuffix)); err != nil && !errors.Is(err, os.ErrNotExist) {
+			return l, errors.Wrap(err, "remove stale temporary file")
+		}
+	}
+	known, err := s.read(identityName, &l.Identity)
+	if err != nil {
 		return l, err
 	}
+	if !known {
+		return s.create()
+	}
+	s.id = l.Identity.ID
 	var snap raft.Snapshot
-	ok, err := s.readFile(snapshotName, &snap)
+	ok, err := s.read(snapshotName, &snap)
 	if err != nil {
 		return l, err
 	}
 	if ok {
 		l.Snapshot = &snap
 	}
-	if err := s.openLog(); err != nil {
+	if err := s.replay(&l); err != nil {
 		return l, err
 	}
-	return l, s.replay(&l)
+	// The log is written anew, so that all that was read is synced: after the crash of the process alone, or after
+	// a failed sync, the end of the log may exist only in the page cache.
+	return l, s.rewrite(l.base(), l.Hard, l.Log)
 }
 
-func (s *Store) loadIdentity(l *Loaded) error {
-	ok, err := s.readFile(identityName, &l.Identity)
-	if err != nil || ok {
-		return err
-	}
-	if _, err := os.Stat(filepath.Join(s.dir, logName)); err == nil {
-		return errors.Wrap(ErrCorrupt, "a log without an identity")
+// create gives a new disk its identity. The log comes first, so that an identity without a log means a lost log.
+func (s *Store) create() (Loaded, error) {
+	if _, err := os.Stat(s.path(snapshotName)); err == nil {
+		return Loaded{}, errors.Wrap(ErrCorrupt, "a snapshot without an identity")
+	}
+	if b, err := os.ReadFile(s.path(logName)); err == nil {
+		var r record
+		n, err := decode(b, &r)
+		if err != nil || n < len(b) {
+			return Loaded{}, errors.Wrap(ErrCorrupt, "a log without an identity")
+		}
 	}
 	var b [8]byte
 	_, _ = rand.Read(b[:])
-	l.Identity.ID = hex.EncodeToString(b[:])
-	return s.SaveIdentity(l.Identity)
+	l := Loaded{Identity: Identity{ID: hex.EncodeToString(b[:])}}
+	s.id = l.Identity.ID
+	if err := s.rewrite(0, l.Hard, nil); err != nil {
+		return l, err
+	}
+	return l, s.SaveIdentity(l.Identity)
 }
 
-func (s *Store) openLog() error {
-	f, err := os.OpenFile(filepath.Join(s.dir, logName), os.O_RDWR|os.O_CREATE|os.O_APPEND, 0o600)
+// rewrite replaces the log by one record that follows the snapshot at base.
+func (s *Store) rewrite(base uint64, hard raft.HardState, entries []raft.Entry) error {
+	if err := s.replace(logName, record{Start: &start{ID: s.id, Base: base}, Hard: &hard, Entries: entries}); err != nil {
+		return errors.Wrap(err, "replace log")
+	}
+	f, err := os.OpenFile(s.path(logName), os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
 		return errors.Wrap(err, "open log")
 	}
+	old := s.file
 	s.file = f
-	return s.syncDir()
+	if old == nil {
+		return nil
+	}
+	return errs.Wrap(old.Close(), "close old log")
 }
 
 func (s *Store) replay(l *Loaded) error {
-	b, err := io.ReadAll(s.file)
+	b, err := os.ReadFile(s.path(logName))
+	if errors.Is(err, os.ErrNotExist) {
+		return errors.Wrap(ErrCorrupt, "the log file is missing")
+	}
 	if err != nil {
 		return errors.Wrap(err, "read log")
 	}
-	at := 0
-	for at < len(b) {
-		r, n, err := decodeRecord(b[at:])
-		if errors.Is(err, io.ErrUnexpectedEOF) {
+	base := uint64(0)
+	for at := 0; at < len(b) || at == 0; {
+		var r record
+		n, err := decode(b[at:], &r)
+		if errors.Is(err, errTorn) && at > 0 {
 			break
 		}
 		if err != nil {
-			return errors.Wrapf(err, "record at byte %d", at)
+			return errors.Wrapf(asCorrupt(err), "log record at byte %d", at)
+		}
+		if (at == 0) != (r.Start != nil) || r.Start != nil && r.Start.ID != s.id {
+			return errors.Wrapf(ErrCorrupt, "log record at byte %d does not belong there", at)
+		}
+		if r.Start != nil {
+			base = r.Start.Base
 		}
-		if err := l.add(r); err != nil {
+		if err := l.add(base, r); err != nil {
 			return err
 		}
 		at += n
 	}
-	if at < len(b) {
-		return errs.Wrap(s.file.Truncate(int64(at)), "cut torn record")
-	}
-	return nil
+	return l.trim(base)
 }
 
-func (l *Loaded) add(r record) error {
+// add applies a record to a log that starts after base.
+func (l *Loaded) add(base uint64, r record) error {
 	if r.Hard != nil {
 		l.Hard = *r.Hard
 	}
-	base := uint64(0)
-	if l.Snapshot != nil {
-		base = l.Snapshot.Index
-	}
 	for _, e := range r.Entries {
-		if e.Index <= base {
-			continue
+		if e.Index <= base || e.Index > base+uint64(len(l.Log))+1 {
+			return errors.Wrapf(ErrCorrupt, "entry %d follows entry %d", e.Index, base+uint64(len(l.Log)))
 		}
-		keep := e.Index - base - 1
-		if keep > uint64(len(l.Log)) {
-			return errors.Wrapf(ErrCorrupt, "entry %d is missing", base+uint64(len(l.Log))+1)
-		}
-		l.Log = append(l.Log[:keep], e)
+		l.Log = append(l.Log[:e.Index-base-1], e)
 	}
 	return nil
 }
 
-func encodeRecord(r record) ([]byte, error) {
-	p, err := json.Marshal(r)
-	if err != nil {
-		return nil, errors.Wrap(err, "encode record")
-	}
-	b := make([]byte, headerBytes, headerBytes+len(p))
-	binary.LittleEndian.PutUint32(b, uint32(len(p)))
-	binary.LittleEndian.PutUint32(b[4:], crc32.Checksum(p, crcTable))
-	return append(b, p...), nil
+// trim drops what the snapshot covers. A crash between the replacement of the snapshot and that of the log leaves a
+// log that starts before the snapshot, and possibly one that differs from it.
+func (l *Loaded) trim(base uint64) error {
+	at := l.base()
+	if at < base {
+		return errors.Wrapf(ErrCorrupt, "the snapshot at %d that the log follows is missing", base)
+	}
+	if at == base {
+		return nil
+	}
+	n := at - base
+	if n > uint64(len(l.Log)) || l.Log[n-1].Term != l.Snapshot.Term {
+		l.Log = nil
+		return nil
+	}
+	l.Log = l.Log[n:]
+	return nil
 }
 
-func decodeRecord(b []byte) (record, int, error) {
-	var r record
-	if len(b) < headerBytes {
-		return r, 0, io.ErrUnexpectedEOF
-	}
-	n := int(binary.LittleEndian.Uint32(b))
-	if n > maxRecordBytes {
-		return r, 0, errors.Wrap(ErrCorrupt, "record length out of range")
+func (l *Loaded) base() uint64 {
+	if l.Snapshot == nil {
+		return 0
 	}
-	if len(b) < headerBytes+n {
-		return r, 0, io.ErrUnexpectedEOF
-	}
-	p := b[headerBytes : headerBytes+n]
-	if crc32.Checksum(p, crcTable) != binary.LittleEndian.Uint32(b[4:]) {
-		return r, 0, errors.Wrap(ErrCorrupt, "checksum mismatch")
-	}
-	if err := json.NewDecoder(bytes.NewReader(p)).Decode(&r); err != nil {
-		return r, 0, errors.Wrap(ErrCorrupt, "record is not JSON")
+	return l.Snapshot.Index
+}
+
+func asCorrupt(err error) error {
+	if errors.Is(err, errTorn) {
+		return errors.Wrap(ErrCorrupt, err.Error())
 	}
-	return r, headerBytes + n, nil
+	return err
 }
 
-func (s *Store) readFile(name string, v any) (bool, error) {
-	b, err := os.ReadFile(filepath.Join(s.dir, name))
+// read decodes a file of one record; false means that it does not exist.
+func (s *Store) read(name string, v any) (bool, error) {
+	b, err := os.ReadFile(s.path(name))
 	if errors.Is(err, os.ErrNotExist) {
 		return false, nil
 	}
 	if err != nil {
 		return false, errors.Wrapf(err, "read %s", name)
 	}
-	if err := json.Unmarshal(b, v); err != nil {
-		return false, errors.Wrapf(ErrCorrupt, "%s: %v", name, err)
+	n, err := decode(b, v)
+	if err != nil {
+		return false, errors.Wrapf(asCorrupt(err), "%s", name)
+	}
+	if n != len(b) {
+		return false, errors.Wrapf(ErrCorrupt, "%s: bytes after the record", name)
 	}
 	return true, nil
 }
 
-func (s *Store) writeFile(name string, v any) error {
-	b, err := json.Marshal(v)
+// replace writes a file through a temporary one, so that a crash leaves the old or the new content.
+func (s *Store) replace(name string, v any) error {
+	b, err := encode(v)
 	if err != nil {
-		return errors.Wrapf(err, "encode %s", name)
+		return err
 	}
-	return s.replace(name, b)
-}
-
-// replace writes a file through a temporary one, so that a crash leaves the old or the new content.
-func (s *Store) replace(name string, b []byte) error {
-	tmp := filepath.Join(s.dir, name+".tmp")
-	f, err := os.OpenFile(tmp, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
+	f, err := os.OpenFile(s.path(name+tmpSuffix), os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
 	if err != nil {
 		return errors.Wrap(err, "create temporary file")
 	}
-	if _, err := f.Write(b); err != nil {
+	defer func() { _ = f.Close() }()
+	if _, err := s.files.Write(f, b); err != nil {
 		return errors.Wrap(err, "write temporary file")
 	}
-	if err := f.Sync(); err != nil {
+	if err := s.files.Sync(f); err != nil {
 		return errors.Wrap(err, "sync temporary file")
 	}
-	if err := f.Close(); err != nil {
-		return errors.Wrap(err, "close temporary file")
-	}
-	if err := os.Rename(tmp, filepath.Join(s.dir, name)); err != nil {
+	if err := s.files.Rename(f.Name(), s.path(name)); err != nil {
 		return errors.Wrap(err, "rename temporary file")
 	}
 	return s.syncDir()
 }
 
+func (s *Store) path(name string) string { return filepath.Join(s.dir, name) }
+
 func (s *Store) syncDir() error {
 	d, err := os.Open(s.dir)
 	if err != nil {
 		return errors.Wrap(err, "open data folder")
 	}
 	defer func() { _ = d.Close() }()
-	return errs.Wrap(d.Sync(), "sync data folder")
+	return errs.Wrap(s.files.Sync(d), "sync data folder")
 }
