Join the group with a new disk through the leader

Cause: a replica with an empty disk waited for ever once the group had formed. It now joins as a learner through one route, is promoted once it has synced every committed entry, and the identity that its host lost is removed after that. Only the replica whose host sorts first decides on the first list; the others adopt it.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -32,6 +32,7 @@
 	m := mux.NewRouter()
 	m.Handle(peer.PathRaft, peer.Handle(peer.MaxRaftBytes, c.raft)).Methods(http.MethodPost)
 	m.Handle(peer.PathReplica, peer.Handle(peer.MaxBodyBytes, c.replica)).Methods(http.MethodPost)
+	m.Handle(peer.PathJoin, peer.Handle(peer.MaxBodyBytes, c.join)).Methods(http.MethodPost)
 	m.Handle(peer.PathAnnounce, peer.Handle(peer.MaxBodyBytes, c.announce)).Methods(http.MethodPost)
 	m.Handle(peer.PathRenew, peer.Handle(peer.MaxBodyBytes, c.renew)).Methods(http.MethodPost)
 	m.Handle(peer.PathWatch, peer.Handle(peer.MaxBodyBytes, c.watch)).Methods(http.MethodPost)
@@ -58,6 +59,15 @@
 	return info, nil
 }
 
+// join lets a replica with a new disk into the group; on the leader only.
+func (c control) join(ctx context.Context, m raft.Member) (raft.Members, error) {
+	n, err := c.replicaNode()
+	if err != nil {
+		return raft.Members{}, err
+	}
+	return n.Join(ctx, m)
+}
+
 // announce answers on the leader and passes the announcement on everywhere else.
 func (c control) announce(ctx context.Context, a proto.Announcement) (proto.Grant, error) {
 	received := c.clock()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -225,7 +225,7 @@
 		}
 		r.info.Store(&replicaInfo{Member: self, Members: &ms})
 		n, err := node.New(node.Config{
-			Self: self, Store: st, Loaded: loaded, Members: ms, Random: rand.Int64N, Clock: clock,
+			Self: self, Store: st, Loaded: loaded, Members: ms, Replicas: cfg.Replicas, Random: rand.Int64N, Clock: clock,
 			Send: newSender(ctx, c.control, t.control).send, Log: log,
 			Planner: owner.Config{MaxMoves: cfg.MaxMoves}, InitialSet: cfg.Services,
 		})
--- a/internal/daemon/form.go
+++ b/internal/daemon/form.go
@@ -27,8 +27,10 @@
 	Members *raft.Members `json:"members,omitempty"`
 }
 
-// former finds the first members of the group. A group forms only when every replica of the settings is present
-// with an empty disk, so a lost disk can't form a second group.
+// former finds the members of the group. A group forms only when every replica of the settings is present with an
+// empty disk, so a lost disk can't form a second group. The replica whose host sorts first alone decides on the
+// first list and the others adopt it: two that decide while a disk is being replaced could pick different lists.
+// A replica that finds a group without itself joins it as a learner.
 type former struct {
 	self   raft.Member
 	cfg    config.Config
@@ -43,7 +45,11 @@
 	defer t.Stop()
 	f.log.Info("waiting for the group to form", "replicas", len(f.cfg.Replicas))
 	for {
-		if ms, ok := f.look(ctx); ok {
+		ms, ok, formed := f.look(ctx)
+		if formed && !ok {
+			ms, ok = f.join(ctx)
+		}
+		if ok {
 			return ms, nil
 		}
 		select {
@@ -54,23 +60,45 @@
 	}
 }
 
-func (f former) look(ctx context.Context) (raft.Members, bool) {
-	members := raft.Members{Voters: []raft.Member{f.self}}
+// look returns a member list and whether it is the one of this replica, and whether a group has formed.
+func (f former) look(ctx context.Context) (members raft.Members, ok, formed bool) {
+	members = raft.Members{Voters: []raft.Member{f.self}}
+	all := true
 	for _, r := range f.cfg.Replicas {
 		if r.Host == f.cfg.Host {
 			continue
 		}
 		info, err := f.ask(ctx, r.Address)
 		if err != nil {
-			return raft.Members{}, false
+			all = false
+			continue
 		}
 		if info.Members != nil {
-			return *info.Members, info.Members.IsVoter(f.self.ID)
+			_, ok := info.Members.ByID(f.self.ID)
+			return *info.Members, ok, true
 		}
 		members.Voters = append(members.Voters, info.Member)
 	}
 	slices.SortFunc(members.Voters, func(a, b raft.Member) int { return strings.Compare(a.Host, b.Host) })
-	return members, true
+	return members, all && members.Voters[0].ID == f.self.ID, false
+}
+
+// join asks every replica until the leader confirms that this one is a committed member.
+func (f former) join(ctx context.Context) (raft.Members, bool) {
+	for _, r := range f.cfg.Replicas {
+		if r.Host == f.cfg.Host {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(ctx, time.Second)
+		ms, err := peer.Call[raft.Member, raft.Members](ctx, f.client, "http://"+r.Address+peer.PathJoin, f.token, f.self)
+		cancel()
+		if err == nil {
+			f.log.Info("joined the group as a learner", "id", f.self.ID)
+			return ms, true
+		}
+		f.log.Debug("not joined yet", "replica", r.Host, "error", err)
+	}
+	return raft.Members{}, false
 }
 
 func (f former) ask(ctx context.Context, address string) (replicaInfo, error) {
@@ -79,7 +107,7 @@
 	return peer.Call[struct{}, replicaInfo](ctx, f.client, "http://"+address+peer.PathReplica, f.token, struct{}{})
 }
 
-// members returns the first member list of the disk, forming the group if the disk is new.
+// members returns the member list of the disk, forming or joining the group if the disk is new.
 func members(ctx context.Context, f former, s *store.Store, l store.Loaded) (raft.Members, error) {
 	if l.Identity.Members != nil {
 		return *l.Identity.Members, nil
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"baobabreach/internal/config"
 	"baobabreach/internal/errs"
 	"baobabreach/internal/model"
 	"baobabreach/internal/owner"
@@ -34,10 +35,12 @@
 
 // Config configures a Node.
 type Config struct {
-	Self       raft.Member
-	Store      *store.Store
-	Loaded     store.Loaded
-	Members    raft.Members
+	Self    raft.Member
+	Store   *store.Store
+	Loaded  store.Loaded
+	Members raft.Members
+	// Replicas are the control hosts of the settings; only they may join.
+	Replicas   []config.Replica
 	Random     func(n int64) int64
 	Clock      func() time.Duration
 	Send       func(to raft.Member, ms []raft.Message)
@@ -75,6 +78,7 @@
 	cfg      Config
 	inbox    chan []raft.Message
 	proposed chan proposal
+	joining  chan joinRequest
 	stopped  chan struct{}
 
 	// Owned by the loop.
@@ -103,7 +107,7 @@
 func New(cfg Config) (*Node, error) {
 	n := &Node{
 		cfg: cfg, inbox: make(chan []raft.Message, inboxLength), proposed: make(chan proposal, inboxLength),
-		stopped: make(chan struct{}), state: state.New(), waiting: map[uint64]proposal{}, changed: make(chan struct{}),
+		joining: make(chan joinRequest), stopped: make(chan struct{}), state: state.New(), waiting: map[uint64]proposal{}, changed: make(chan struct{}),
 		hard: cfg.Loaded.Hard,
 	}
 	if s := cfg.Loaded.Snapshot; s != nil {
@@ -137,10 +141,13 @@
 			return nil
 		case <-t.C:
 			n.raft.Tick(n.cfg.Clock())
+			n.repair()
 		case ms := <-n.inbox:
 			n.step(ms)
 		case p := <-n.proposed:
 			n.propose(p)
+		case j := <-n.joining:
+			n.join(j)
 		}
 		n.drain()
 		if err := n.carryOut(); err != nil {
@@ -234,7 +241,12 @@
 		byPeer[m.To] = append(byPeer[m.To], m)
 	}
 	for id, ms := range byPeer {
-		if to, ok := n.raft.Members().ByID(id); ok {
+		to, ok := n.raft.Members().ByID(id)
+		if !ok {
+			// A replica that catches up may hold a list older than its leader's membership. It joined with a newer one.
+			to, ok = n.cfg.Members.ByID(id)
+		}
+		if ok {
 			n.cfg.Send(to, ms)
 		}
 	}
--- a/internal/peer/leader.go
+++ b/internal/peer/leader.go
@@ -12,6 +12,7 @@
 // Paths of the control address.
 const (
 	PathRaft     = "/control/v1/raft"
+	PathJoin     = "/control/v1/join"
 	PathReplica  = "/control/v1/replica"
 	PathAnnounce = "/control/v1/announce"
 	PathRenew    = "/control/v1/renew"
--- a/internal/raft/log.go
+++ b/internal/raft/log.go
@@ -167,7 +167,7 @@
 		return
 	}
 	m.commit = index
-	if !members.IsVoter(m.cfg.ID) && !m.changePending() {
+	if !members.IsVoter(m.cfg.ID) && !m.ChangePending() {
 		m.becomeFollower(now, m.hard.Term, "")
 	}
 }
--- a/internal/raft/members.go
+++ b/internal/raft/members.go
@@ -44,7 +44,8 @@
 	return m.baseMembers
 }
 
-func (m *Machine) changePending() bool {
+// ChangePending tells whether the newest member list is not committed yet.
+func (m *Machine) ChangePending() bool {
 	return len(m.changes) > 0 && m.changes[len(m.changes)-1].index > m.commit
 }
 
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -148,7 +148,7 @@
 	if now >= m.LeaseUntil() {
 		return 0, ErrNotLeader
 	}
-	if m.changePending() {
+	if m.ChangePending() {
 		return 0, ErrChangePending
 	}
 	if err := m.checkChange(members); err != nil {
