--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"baobabreach/internal/audit"
+	"baobabreach/internal/config"
 	"baobabreach/internal/errs"
 	"baobabreach/internal/model"
 	"baobabreach/internal/owner"
@@ -39,8 +40,10 @@
 	Store   *store.Store
 	Loaded  store.Loaded
 	Members raft.Members
-	Random  func(n int64) int64
-	Clock   func() time.Duration
+	// Replicas are the control hosts of the settings; only they may join.
+	Replicas []config.Replica
+	Random   func(n int64) int64
+	Clock    func() time.Duration
 	// WallMs is the wall clock in milliseconds since the Unix epoch; used for request ids only, never for leases.
 	WallMs     func() int64
 	Send       func(to raft.Member, ms []raft.Message)
@@ -80,6 +83,7 @@
 	cfg      Config
 	inbox    chan []raft.Message
 	proposed chan proposal
+	joining  chan joinRequest
 	stopped  chan struct{}
 
 	// Owned by the loop.
@@ -110,7 +114,8 @@
 func New(cfg Config) (*Node, error) {
 	n := &Node{
 		cfg: cfg, inbox: make(chan []raft.Message, inboxLength), proposed: make(chan proposal, inboxLength),
-		stopped: make(chan struct{}), state: state.New(), waiting: map[uint64]proposal{}, changed: make(chan struct{}),
+		joining: make(chan joinRequest), stopped: make(chan struct{}), state: state.New(),
+		waiting: map[uint64]proposal{}, changed: make(chan struct{}),
 		hard: cfg.Loaded.Hard,
 	}
 	if s := cfg.Loaded.Snapshot; s != nil {
@@ -144,10 +149,13 @@
 			return nil
 		case <-t.C:
 			n.raft.Tick(n.cfg.Clock())
+			n.repair()
 		case ms := <-n.inbox:
 			n.step(ms)
 		case p := <-n.proposed:
 			n.propose(p)
+		case j := <-n.joining:
+			n.join(j)
 		}
 		n.drain()
 		if err := n.carryOut(); err != nil {
@@ -241,7 +249,12 @@
 		byPeer[m.To] = append(byPeer[m.To], m)
 	}
 	for id, ms := range byPeer {
-		if to, ok := n.raft.Members().ByID(id); ok {
+		to, ok := n.raft.Members().ByID(id)
+		if !ok {
+			// A replica that catches up may hold a list older than its leader's membership. It joined with a newer one.
+			to, ok = n.cfg.Members.ByID(id)
+		}
+		if ok {
 			n.cfg.Send(to, ms)
 		}
 	}
