Move the grant logic of upstreams into pkg/grant

The stand-in kept its grant inline and took answers in any order: an answer delayed past a give-back restored the fence after the range could have a new owner. Holder ignores answers to older announcements and never accepts a fence again that it saw as releasing. It lists a fence as given back until the leader stops asking for it, because a new leader knows nothing of the earlier announcement.

--- a/internal/stub/stub.go
+++ b/internal/stub/stub.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"baobabreach/internal/peer"
+	"baobabreach/pkg/grant"
 	"baobabreach/pkg/proto"
 )
 
@@ -38,17 +39,12 @@
 	cfg  Config
 	stop chan struct{}
 
-	mu sync.Mutex
-	// fences maps a range to the granted epoch; valid until grantUntil.
-	fences     map[uint64]uint64
-	grantUntil time.Duration
-	running    map[uint64]int
-	releasing  map[proto.Fence]bool
-	inFlight   int
-	draining   bool
-	drained    bool
-	runs       map[string]int
-	entry      int
+	mu       sync.Mutex
+	held     *grant.Holder
+	inFlight int
+	draining bool
+	runs     map[string]int
+	entry    int
 }
 
 // Stats is the body of the /stub/stats path.
@@ -62,10 +58,7 @@
 
 // New returns an upstream that holds no grant.
 func New(cfg Config) *Upstream {
-	return &Upstream{
-		cfg: cfg, stop: make(chan struct{}), fences: map[uint64]uint64{}, running: map[uint64]int{},
-		releasing: map[proto.Fence]bool{}, runs: map[string]int{},
-	}
+	return &Upstream{cfg: cfg, stop: make(chan struct{}), held: grant.NewHolder(), runs: map[string]int{}}
 }
 
 // Announce announces the upstream until ctx ends.
@@ -88,7 +81,7 @@
 	defer t.Stop()
 	for {
 		u.mu.Lock()
-		over := u.drained && u.inFlight == 0
+		over := u.held.Drained() && u.inFlight == 0
 		u.mu.Unlock()
 		if over {
 			return
@@ -118,7 +111,7 @@
 		u.mu.Unlock()
 		return announceRetry
 	}
-	return u.take(sentAt, a.Released, g)
+	return u.take(sentAt, g)
 }
 
 func (u *Upstream) announcement() (proto.Announcement, string) {
@@ -127,32 +120,16 @@
 	a := proto.Announcement{
 		Name: u.cfg.Name, Address: u.cfg.Address, DataCentre: u.cfg.DataCentre, Service: u.cfg.Service,
 		Slots: u.cfg.Slots, Incarnation: u.cfg.Incarnation, ChecksGrants: u.cfg.ChecksGrants,
-		Draining: u.draining, InFlight: u.inFlight,
-	}
-	for f := range u.releasing {
-		if u.running[f.Range] == 0 {
-			a.Released = append(a.Released, f)
-		}
+		Draining: u.draining, InFlight: u.inFlight, Released: u.held.Released(),
 	}
 	return a, u.cfg.Entries[u.entry%len(u.cfg.Entries)]
 }
 
 // take installs a grant and returns the time to the next announcement.
-func (u *Upstream) take(sentAt time.Duration, released []proto.Fence, g proto.Grant) time.Duration {
+func (u *Upstream) take(sentAt time.Duration, g proto.Grant) time.Duration {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.fences = map[uint64]uint64{}
-	for _, f := range g.Fences {
-		u.fences[f.Range] = f.Epoch
-	}
-	u.grantUntil = sentAt + time.Duration(g.TTLMs)*time.Millisecond
-	for _, f := range released {
-		delete(u.releasing, f)
-	}
-	for _, f := range g.Releasing {
-		u.releasing[f] = true
-	}
-	u.drained = g.Drained
+	u.held.Take(u.cfg.Clock(), sentAt, g)
 	return time.Duration(g.NextMs) * time.Millisecond
 }
 
@@ -164,12 +141,12 @@
 	}
 	id := r.Header.Get(proto.HeaderRequestID)
 	w.Header().Set(proto.HeaderRequestID, id)
-	rangeID, err := u.begin(r)
+	f, err := u.begin(r)
 	if err != nil {
 		peer.WriteError(w, err.WithRequestID(id))
 		return
 	}
-	defer u.end(rangeID)
+	defer u.end(f)
 	body, _ := io.ReadAll(r.Body)
 	select {
 	case <-r.Context().Done():
@@ -188,39 +165,38 @@
 }
 
 // begin checks the grant and takes a slot.
-func (u *Upstream) begin(r *http.Request) (uint64, *proto.Error) {
+func (u *Upstream) begin(r *http.Request) (proto.Fence, *proto.Error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	var rangeID uint64
+	var f proto.Fence
 	if u.cfg.Keyed {
-		id, err1 := strconv.ParseUint(r.Header.Get(proto.HeaderRange), 10, 64)
-		epoch, err2 := strconv.ParseUint(r.Header.Get(proto.HeaderEpoch), 10, 64)
-		granted := err1 == nil && err2 == nil && u.fences[id] == epoch && epoch > 0 && u.cfg.Clock() < u.grantUntil
-		if u.cfg.ChecksGrants && !granted {
-			return 0, proto.NotRun(proto.CodeStaleGrant, http.StatusConflict, "no grant for range %d epoch %d", id, epoch)
+		// A header that can't be parsed leaves epoch 0, which is never held.
+		f.Range, _ = strconv.ParseUint(r.Header.Get(proto.HeaderRange), 10, 64)
+		f.Epoch, _ = strconv.ParseUint(r.Header.Get(proto.HeaderEpoch), 10, 64)
+		if u.cfg.ChecksGrants && !u.held.Holds(u.cfg.Clock(), f) {
+			return f, proto.NotRun(proto.CodeStaleGrant, http.StatusConflict, "no grant for range %d epoch %d", f.Range, f.Epoch)
 		}
-		rangeID = id
 	}
 	if u.inFlight >= u.cfg.Slots {
-		return 0, proto.NotRun(proto.CodeOverloaded, http.StatusServiceUnavailable, "all %d slots are in use", u.cfg.Slots)
+		return f, proto.NotRun(proto.CodeOverloaded, http.StatusServiceUnavailable, "all %d slots are in use", u.cfg.Slots)
 	}
 	u.inFlight++
-	u.running[rangeID]++
+	u.held.Begin(f)
 	u.runs[r.Header.Get(proto.HeaderRequestID)]++
-	return rangeID, nil
+	return f, nil
 }
 
-func (u *Upstream) end(rangeID uint64) {
+func (u *Upstream) end(f proto.Fence) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.inFlight--
-	u.running[rangeID]--
+	u.held.End(f)
 }
 
 func (u *Upstream) stats() json.RawMessage {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	b, err := json.Marshal(Stats{Name: u.cfg.Name, Runs: u.runs, Epochs: u.fences})
+	b, err := json.Marshal(Stats{Name: u.cfg.Name, Runs: u.runs, Epochs: u.held.Epochs()})
 	if err != nil {
 		return json.RawMessage("{}")
 	}
--- /dev/null
+++ b/pkg/grant/grant.go
@@ -0,0 +1,115 @@
+// Package grant is the upstream's side of exclusive ownership: it tells which fences an upstream holds at a given
+// time and which it can give back. It performs no I/O and reads no clock.
+package grant
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"baobabreach/pkg/proto"
+)
+
+// ended is a range that the leader took back.
+type ended struct {
+	epoch uint64
+	// at is when the holder learned of it.
+	at time.Duration
+}
+
+// Holder keeps the grant of one incarnation of an upstream. All times are of the upstream's own monotonic clock.
+// It is not safe for concurrent use.
+type Holder struct {
+	// epochs maps each granted range to its epoch; valid before until.
+	epochs map[uint64]uint64
+	until  time.Duration
+	// sentAt is the send time of the announcement whose answer is in force; -1 before the first answer.
+	sentAt    time.Duration
+	running   map[proto.Fence]int
+	releasing map[proto.Fence]bool
+	// ended keeps the newest epoch per range that was listed as releasing.
+	ended   map[uint64]ended
+	drained bool
+}
+
+// NewHolder returns a holder without a grant.
+func NewHolder() *Holder {
+	return &Holder{
+		epochs: map[uint64]uint64{}, sentAt: -1, running: map[proto.Fence]int{},
+		releasing: map[proto.Fence]bool{}, ended: map[uint64]ended{},
+	}
+}
+
+// Take installs the answer, received at now, to the announcement sent at sentAt. It returns false for an answer to
+// an announcement older than the one in force; such an answer changes nothing except that fences it lists as
+// releasing are never accepted again.
+func (h *Holder) Take(now, sentAt time.Duration, g proto.Grant) bool {
+	ttl := time.Duration(g.TTLMs) * time.Millisecond
+	for _, f := range g.Releasing {
+		h.end(now, f)
+	}
+	if sentAt <= h.sentAt {
+		return false
+	}
+	h.sentAt, h.until, h.drained = sentAt, sentAt+ttl, g.Drained
+	h.epochs = make(map[uint64]uint64, len(g.Fences))
+	for _, f := range g.Fences {
+		// An answer may overtake an earlier one that took the range back; the fence may be another's by now.
+		if f.Epoch > h.ended[f.Range].epoch {
+			h.epochs[f.Range] = f.Epoch
+		}
+	}
+	h.releasing = make(map[proto.Fence]bool, len(g.Releasing))
+	for _, f := range g.Releasing {
+		h.releasing[f] = true
+	}
+	// A grant sent before the range was taken back has expired after its TTL, so the mark isn't needed any longer.
+	maps.DeleteFunc(h.ended, func(_ uint64, e ended) bool { return now > e.at+ttl })
+	return true
+}
+
+func (h *Holder) end(now time.Duration, f proto.Fence) {
+	if f.Epoch >= h.ended[f.Range].epoch {
+		h.ended[f.Range] = ended{epoch: f.Epoch, at: now}
+	}
+	if h.epochs[f.Range] <= f.Epoch {
+		delete(h.epochs, f.Range)
+	}
+}
+
+// Holds tells whether the fence is in an unexpired grant at the time now.
+func (h *Holder) Holds(now time.Duration, f proto.Fence) bool {
+	return f.Epoch > 0 && h.epochs[f.Range] == f.Epoch && now < h.until
+}
+
+// Begin counts a request that starts to run under the fence. The caller checks Holds first if it checks grants.
+func (h *Holder) Begin(f proto.Fence) { h.running[f]++ }
+
+// End counts the end of a request that Begin counted.
+func (h *Holder) End(f proto.Fence) {
+	if h.running[f]--; h.running[f] <= 0 {
+		delete(h.running, f)
+	}
+}
+
+// Running returns the number of requests that run under the fence.
+func (h *Holder) Running(f proto.Fence) int { return h.running[f] }
+
+// Released lists the fences to give back, in ascending order: those that the leader wants back and under which no
+// request runs. A fence stays listed until the leader no longer asks for it, because a new leader has to learn it.
+func (h *Holder) Released() []proto.Fence {
+	var fs []proto.Fence
+	for f := range h.releasing {
+		if h.running[f] == 0 {
+			fs = append(fs, f)
+		}
+	}
+	slices.SortFunc(fs, func(a, b proto.Fence) int { return int(int64(a.Epoch - b.Epoch)) })
+	return fs
+}
+
+// Drained tells whether the leader has confirmed that the upstream owns nothing and gets no new work.
+func (h *Holder) Drained() bool { return h.drained }
+
+// Epochs returns a copy of the granted ranges with their epochs, expired or not.
+func (h *Holder) Epochs() map[uint64]uint64 { return maps.Clone(h.epochs) }
