--- a/internal/daemon/renew.go
+++ b/internal/daemon/renew.go
@@ -52,12 +52,15 @@
 	l, err := peer.ToLeader[owner.Renewal, owner.Lease](ctx, r.leader, peer.PathRenew, renewTimeout,
 		owner.Renewal{
 			Daemon: r.self, TableVersion: present, OldestVersion: oldest, Revision: table.Revision,
-			SuspectsVersion: r.guard.Version(),
+			SuspectsVersion: r.guard.Version(), Load: r.view.Report(sentAt),
+			DaemonsSum: route.SumDaemons(r.view.Daemons()),
 		})
 	if err != nil {
 		return err
 	}
-	r.view.Update(sentAt, time.Duration(l.TTLMs)*time.Millisecond, l.Table, l.Daemons)
+	r.view.Update(sentAt, route.Update{
+		TTL: time.Duration(l.TTLMs) * time.Millisecond, Version: l.Version, Table: l.Table, Delta: l.Delta, Daemons: l.Daemons,
+	})
 	if l.Suspects != nil {
 		r.guard.Update(ctx, *l.Suspects)
 	}
--- a/internal/entry/audit_test.go
+++ b/internal/entry/audit_test.go
@@ -43,7 +43,7 @@
 	})
 	router := mux.NewRouter()
 	router.Handle("/s/{service}", s)
-	view.Update(0, time.Second, route.NewTable(m.WithRange(a).WithVersion(1)), nil)
+	view.Update(0, route.Update{TTL: time.Second, Version: 1, Table: route.NewTable(m.WithRange(a).WithVersion(1))})
 	ask := func(key string) audit.Decision {
 		r := httptest.NewRequest(http.MethodGet, "/s/catalogue", nil)
 		r.Header.Set(proto.HeaderKey, key)
--- a/internal/stub/stub.go
+++ b/internal/stub/stub.go
@@ -15,6 +15,7 @@
 	"baobabreach/internal/errs"
 	"baobabreach/internal/model"
 	"baobabreach/internal/peer"
+	"baobabreach/pkg/grant"
 	"baobabreach/pkg/proto"
 
 	"github.com/go-faster/errors"
@@ -62,18 +63,13 @@
 	cfg  Config
 	stop chan struct{}
 
-	mu sync.Mutex
-	// fences maps a range to the granted epoch; valid until grantUntil.
-	fences     map[uint64]uint64
-	grantUntil time.Duration
-	running    map[uint64]int
-	releasing  map[proto.Fence]bool
-	inFlight   int
-	draining   bool
-	drained    bool
-	runs       map[string]int
-	entry      int
-	faults     *faults
+	mu       sync.Mutex
+	held     *grant.Holder
+	inFlight int
+	draining bool
+	runs     map[string]int
+	entry    int
+	faults   *faults
 	// thawed is closed and replaced whenever the faults are replaced.
 	thawed chan struct{}
 }
@@ -90,8 +86,7 @@
 // New returns an upstream that holds no grant.
 func New(cfg Config) *Upstream {
 	return &Upstream{
-		cfg: cfg, stop: make(chan struct{}), fences: map[uint64]uint64{}, running: map[uint64]int{},
-		releasing: map[proto.Fence]bool{}, runs: map[string]int{},
+		cfg: cfg, stop: make(chan struct{}), held: grant.NewHolder(), runs: map[string]int{},
 		faults: newFaults(cfg.Faults), thawed: make(chan struct{}),
 	}
 }
@@ -117,7 +112,7 @@
 	defer t.Stop()
 	for {
 		u.mu.Lock()
-		over := u.drained && u.inFlight == 0
+		over := u.held.Drained() && u.inFlight == 0
 		u.mu.Unlock()
 		if over {
 			return
@@ -147,7 +142,7 @@
 		u.mu.Unlock()
 		return announceRetry
 	}
-	return u.take(sentAt, a.Released, g)
+	return u.take(sentAt, g)
 }
 
 func (u *Upstream) announcement() (proto.Announcement, string) {
@@ -156,35 +151,19 @@
 	a := proto.Announcement{
 		Name: u.cfg.Name, Address: u.cfg.Address, DataCentre: u.cfg.DataCentre, Service: u.cfg.Service,
 		Slots: u.cfg.Slots, Incarnation: u.cfg.Incarnation, ChecksGrants: u.cfg.ChecksGrants,
-		Draining: u.draining, InFlight: u.inFlight,
+		Draining: u.draining, InFlight: u.inFlight, Released: u.held.Released(),
 	}
 	if u.faults.FalseLoad > 0 {
 		a.InFlight = u.faults.FalseLoad
 	}
-	for f := range u.releasing {
-		if u.running[f.Range] == 0 {
-			a.Released = append(a.Released, f)
-		}
-	}
 	return a, u.cfg.Entries[u.entry%len(u.cfg.Entries)]
 }
 
 // take installs a grant and returns the time to the next announcement.
-func (u *Upstream) take(sentAt time.Duration, released []proto.Fence, g proto.Grant) time.Duration {
+func (u *Upstream) take(sentAt time.Duration, g proto.Grant) time.Duration {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.fences = map[uint64]uint64{}
-	for _, f := range g.Fences {
-		u.fences[f.Range] = f.Epoch
-	}
-	u.grantUntil = sentAt + time.Duration(g.TTLMs)*time.Millisecond
-	for _, f := range released {
-		delete(u.releasing, f)
-	}
-	for _, f := range g.Releasing {
-		u.releasing[f] = true
-	}
-	u.drained = g.Drained
+	u.held.Take(u.cfg.Clock(), sentAt, g)
 	return time.Duration(g.NextMs) * time.Millisecond
 }
 
@@ -207,12 +186,12 @@
 func (u *Upstream) run(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(proto.HeaderRequestID)
 	w.Header().Set(proto.HeaderRequestID, id)
-	rangeID, c, err := u.begin(r)
+	f, c, err := u.begin(r)
 	if err != nil {
 		peer.WriteError(w, err.WithRequestID(id))
 		return
 	}
-	defer u.end(rangeID)
+	defer u.end(f)
 	body, _ := io.ReadAll(r.Body)
 	u.mu.Lock()
 	crash := u.faults.crashesOn(body)
@@ -241,13 +220,8 @@
 func (u *Upstream) Held() []proto.Fence {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.cfg.Clock() >= u.grantUntil {
-		return nil
-	}
-	out := make([]proto.Fence, 0, len(u.fences))
-	for r, e := range u.fences {
-		out = append(out, proto.Fence{Range: r, Epoch: e})
-	}
+	var out []proto.Fence
+	u.held.Each(u.cfg.Clock(), func(f proto.Fence) { out = append(out, f) })
 	return out
 }
 
@@ -259,39 +233,38 @@
 }
 
 // begin checks the grant, takes a slot and records the execution.
-func (u *Upstream) begin(r *http.Request) (uint64, course, *proto.Error) {
+func (u *Upstream) begin(r *http.Request) (proto.Fence, course, *proto.Error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	var rangeID, epoch uint64
+	var f proto.Fence
 	if u.cfg.Keyed {
-		var err1, err2 error
-		rangeID, err1 = strconv.ParseUint(r.Header.Get(proto.HeaderRange), 10, 64)
-		epoch, err2 = strconv.ParseUint(r.Header.Get(proto.HeaderEpoch), 10, 64)
-		granted := err1 == nil && err2 == nil && u.fences[rangeID] == epoch && epoch > 0 && u.cfg.Clock() < u.grantUntil
-		if u.cfg.ChecksGrants && !granted {
-			return 0, course{}, proto.NotRun(proto.CodeStaleGrant, http.StatusConflict,
-				"no grant for range %d epoch %d", rangeID, epoch)
+		// A header that can't be parsed leaves epoch 0, which is never held.
+		f.Range, _ = strconv.ParseUint(r.Header.Get(proto.HeaderRange), 10, 64)
+		f.Epoch, _ = strconv.ParseUint(r.Header.Get(proto.HeaderEpoch), 10, 64)
+		if u.cfg.ChecksGrants && !u.held.Holds(u.cfg.Clock(), f) {
+			return f, course{}, proto.NotRun(proto.CodeStaleGrant, http.StatusConflict,
+				"no grant for range %d epoch %d", f.Range, f.Epoch)
 		}
 	}
 	if u.inFlight >= u.cfg.Slots {
-		return 0, course{}, proto.NotRun(proto.CodeOverloaded, http.StatusServiceUnavailable,
+		return f, course{}, proto.NotRun(proto.CodeOverloaded, http.StatusServiceUnavailable,
 			"all %d slots are in use", u.cfg.Slots)
 	}
 	c := u.faults.draw(u.cfg.ServiceTime, model.Class(r.Header.Get(proto.HeaderClass)))
 	if c.shed {
-		return 0, c, proto.NotRun(proto.CodeOverloaded, http.StatusServiceUnavailable, "load is shed")
+		return f, c, proto.NotRun(proto.CodeOverloaded, http.StatusServiceUnavailable, "load is shed")
 	}
 	x := Execution{
 		RequestID: r.Header.Get(proto.HeaderRequestID), Upstream: u.cfg.Name, Service: u.cfg.Service,
-		Range: rangeID, Epoch: epoch, StartNs: time.Now().UnixNano(), ServiceNs: c.service.Nanoseconds(),
+		Range: f.Range, Epoch: f.Epoch, StartNs: time.Now().UnixNano(), ServiceNs: c.service.Nanoseconds(),
 	}
 	if err := u.record(x); err != nil {
-		return 0, c, proto.NotRun(proto.CodeInternal, http.StatusServiceUnavailable, "record: %v", err)
+		return f, c, proto.NotRun(proto.CodeInternal, http.StatusServiceUnavailable, "record: %v", err)
 	}
 	u.inFlight++
-	u.running[rangeID]++
+	u.held.Begin(f)
 	u.runs[x.RequestID]++
-	return rangeID, c, nil
+	return f, c, nil
 }
 
 // record writes the execution in one call, so that the end of the process leaves no partial line.
@@ -307,17 +280,17 @@
 	return errs.Wrap(err, "write")
 }
 
-func (u *Upstream) end(rangeID uint64) {
+func (u *Upstream) end(f proto.Fence) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.inFlight--
-	u.running[rangeID]--
+	u.held.End(f)
 }
 
 func (u *Upstream) stats() json.RawMessage {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	b, err := json.Marshal(Stats{Name: u.cfg.Name, Runs: u.runs, Epochs: u.fences})
+	b, err := json.Marshal(Stats{Name: u.cfg.Name, Runs: u.runs, Epochs: u.held.Epochs()})
 	if err != nil {
 		return json.RawMessage("{}")
 	}
