--- a/internal/owner/sim_test.go
+++ b/internal/owner/sim_test.go
@@ -342,7 +342,7 @@
 	}
 	present, oldest := h.view.Versions()
 	sentAt := h.at(s.now)
-	r := owner.Renewal{Daemon: h.daemon, TableVersion: present, OldestVersion: oldest}
+	r := owner.Renewal{Daemon: h.daemon, TableVersion: present, OldestVersion: oldest, Load: &route.Load{}}
 	if h.hot > 0 {
 		r.Load.Keys = []route.HotKey{{Service: "checked", Hash: h.hot, Busy: 1}}
 	}
