Keep the votes of a leader that stepped down until its lease would have ended

A leader counts itself in the majority behind its lease. When a reply of a later term made it step down, it could at once vote for the sender, whose lease then overlapped the time in which handlers of the old leader may still act. Found by reading; the random schedules never hit it, since they publish the lease at once.

--- a/Makefile
+++ b/Makefile
@@ -30,9 +30,12 @@
 SECONDS ?= 60
 
 # Prints the seed; the SEED of a failure replays it, with SECONDS=0 alone.
+# Runs random fault schedules from SEED for SECONDS in each package; the printed seed replays a failure.
+SEED ?= $(shell date +%s)
+SECONDS ?= 600
 soak:
 	@echo "soak: SEED=$(SEED) SECONDS=$(SECONDS)"
-	SOAK_SEED=$(SEED) SOAK_SECONDS=$(SECONDS) go test -count=1 -timeout 0 -v -run '^TestSoak$$' ./internal/raft
+	SOAK_SEED=$(SEED) SOAK_SECONDS=$(SECONDS) go test -count=1 -timeout 0 -v -run Soak ./internal/raft ./internal/owner
 
 clean:
 	rm -rf bin .bin demo-run
--- a/internal/raft/elect.go
+++ b/internal/raft/elect.go
@@ -96,6 +96,7 @@
 
 func (m *Machine) becomeFollower(now time.Duration, term uint64, leader string) {
 	if m.role == RoleLeader {
+		m.promisedUntil = max(m.promisedUntil, m.leaseEnd())
 		m.resetElection(now)
 	}
 	if term > m.hard.Term {
@@ -111,7 +112,7 @@
 	if m.role == RoleLeader {
 		return now < m.leaseEnd()
 	}
-	return now-m.leaderContact < m.cfg.ElectionMin
+	return now < m.promisedUntil || now-m.leaderContact < m.cfg.ElectionMin
 }
 
 // isFresh tells whether the candidate's log is at least as new as this one.
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -71,6 +71,9 @@
 	leader string
 	// leaderContact is the time of the last message of a leader, or the start. It decides whether a vote is refused.
 	leaderContact time.Duration
+	// promisedUntil is the end of the lease that this replica held when it last stepped down. It counted itself in
+	// the majority of that lease, and its caller may act by the lease for a moment after the step down.
+	promisedUntil time.Duration
 	// timerStart and electionAfter give the time of the next campaign.
 	timerStart    time.Duration
 	electionAfter time.Duration
