--- a/Makefile
+++ b/Makefile
@@ -26,10 +26,6 @@
 bench:
 	go test -run '^$$' -bench . -benchtime 1s ./...
 
-SEED ?= $(shell date +%s)
-SECONDS ?= 60
-
-# Prints the seed; the SEED of a failure replays it, with SECONDS=0 alone.
 # Runs random fault schedules from SEED for SECONDS in each package; the printed seed replays a failure.
 SEED ?= $(shell date +%s)
 SECONDS ?= 600
