--- a/pkg/proto/error.go
+++ b/pkg/proto/error.go
@@ -40,6 +40,9 @@
 	CodeStopping        Code = "stopping"
 )
 
+// CodeUpstreamShed is used between daemons only; callers receive CodeOverloaded.
+const CodeUpstreamShed Code = "upstream_shed"
+
 // Error is the body of every answer that the system itself produces instead of an upstream.
 type Error struct {
 	Code         Code    `json:"code"`
