--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -2,6 +2,7 @@
 package metric
 
 import (
+	"sync"
 	"time"
 
 	"baobabreach/internal/model"
@@ -13,26 +14,44 @@
 const (
 	sampleSize  = 1028
 	sampleAlpha = 0.015
+	// maxTenants bounds the tenant names with metrics of their own; callers choose the names.
+	maxTenants  = 256
+	otherTenant = "other"
 )
 
 // Registry holds the metrics of one daemon. It is safe for concurrent use.
 type Registry struct {
 	r metrics.Registry
+
+	mu      sync.Mutex
+	tenants map[string]bool
 }
 
 // New returns an empty registry.
 func New() *Registry {
-	return &Registry{r: metrics.NewRegistry()}
+	return &Registry{r: metrics.NewRegistry(), tenants: map[string]bool{}}
 }
 
 // Observe records one answered request in the histogram of its tenant and class, in microseconds.
 func (r *Registry) Observe(tenant string, class model.Class, outcome proto.Outcome, d time.Duration) {
+	tenant = r.tenant(tenant)
 	name := "latency_us." + tenant + "." + string(class)
 	h := r.r.GetOrRegister(name, newHistogram).(metrics.Histogram)
 	h.Update(d.Microseconds())
 	r.Count("requests." + tenant + "." + string(class) + "." + string(outcome))
 }
 
+// tenant returns the name, or "other" once maxTenants different ones were seen.
+func (r *Registry) tenant(name string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.tenants[name] && len(r.tenants) >= maxTenants {
+		return otherTenant
+	}
+	r.tenants[name] = true
+	return name
+}
+
 // Count adds one to the named counter.
 func (r *Registry) Count(name string) {
 	metrics.GetOrRegisterCounter(name, r.r).Inc(1)
