Wire the admission policies, retries and limits into the request path

Non-idempotent requests are sent once. A stale_grant waits for the next table, or 25 to 200 ms, since a new owner may learn of its grant after the table was published. An outcome "not run" after an earlier send with an unknown outcome is reported as unknown. A connection that delivered a wrong answer is closed. Oversized headers are refused with a typed error up to four times the limit, beyond that by net/http.

Not wired: the limits of the settings file don't reach the replicated state yet, so limits were not run end to end.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -26,6 +26,7 @@
 	clock  func() time.Duration
 	info   func() (replicaInfo, bool)
 	token  string
+	slots  *slots
 }
 
 func (c control) router() http.Handler {
@@ -36,6 +37,7 @@
 	m.Handle(peer.PathRenew, peer.Handle(peer.MaxBodyBytes, c.renew)).Methods(http.MethodPost)
 	m.Handle(peer.PathWatch, peer.Handle(peer.MaxBodyBytes, c.watch)).Methods(http.MethodPost)
 	m.Handle(peer.PathPropose, peer.Handle(peer.MaxBodyBytes, c.propose)).Methods(http.MethodPost)
+	c.slots.routes(m)
 	m.NotFoundHandler = notFound()
 	m.MethodNotAllowedHandler = notFound()
 	return requireToken(c.token, m)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,21 +12,20 @@
 	"sync/atomic"
 	"time"
 
-	"baobabreach/internal/admit"
 	"baobabreach/internal/config"
 	"baobabreach/internal/entry"
 	"baobabreach/internal/errs"
+	"baobabreach/internal/limit"
 	"baobabreach/internal/logs"
 	"baobabreach/internal/metric"
-	"baobabreach/internal/model"
 	"baobabreach/internal/node"
 	"baobabreach/internal/owner"
 	"baobabreach/internal/peer"
 	"baobabreach/internal/raft"
+	"baobabreach/internal/retry"
 	"baobabreach/internal/route"
 	"baobabreach/internal/state"
 	"baobabreach/internal/store"
-	"baobabreach/pkg/proto"
 
 	"github.com/go-faster/errors"
 
@@ -57,9 +56,9 @@
 		fx.Supply(cfg),
 		fx.Provide(
 			newLogger, newClock, newTokens, newClients, newLeaderClient, metric.New, route.NewView,
-			newReplica, newRenewer, newEntry, newStopper, newServers,
+			newReplica, newRenewer, newSlots, limit.NewHost, retry.NewPolicy, newEntry, newStopper, newServers,
 		),
-		fx.Invoke(startListeners, startReplica, startRenewer, startDrain),
+		fx.Invoke(startListeners, startReplica, startRenewer, startSlots, startDrain),
 	)
 }
 
@@ -151,10 +150,13 @@
 
 func newReplica() *replica { return &replica{} }
 
-func newRenewer(cfg config.Config, v *route.View, l *peer.LeaderClient, clock Clock, log *slog.Logger) *renewer {
+func newRenewer(
+	cfg config.Config, v *route.View, l *peer.LeaderClient, clock Clock, lim *limit.Host, log *slog.Logger,
+) *renewer {
 	return &renewer{
-		self: route.Daemon{Host: cfg.Host, DataCentre: cfg.DataCentre, Control: cfg.Control, Caller: cfg.Caller},
-		view: v, leader: l, clock: clock, log: logs.Part(log, "lease"), changed: make(chan struct{}),
+		limits: lim,
+		self:   route.Daemon{Host: cfg.Host, DataCentre: cfg.DataCentre, Control: cfg.Control, Caller: cfg.Caller},
+		view:   v, leader: l, clock: clock, log: logs.Part(log, "lease"), changed: make(chan struct{}),
 	}
 }
 
@@ -162,10 +164,10 @@
 const claimTryTimeout = time.Second
 
 func newEntry(
-	cfg config.Config, v *route.View, l *peer.LeaderClient, c clients, m *metric.Registry, clock Clock, log *slog.Logger,
+	cfg config.Config, v *route.View, l *peer.LeaderClient, c clients, m *metric.Registry, clock Clock, s *slots,
+	lim *limit.Host, rp *retry.Policy, log *slog.Logger,
 ) *entry.Server {
-	local := admit.NewLocal()
-	return entry.New(entry.Config{
+	ec := entry.Config{
 		Host: cfg.Host, DataCentre: cfg.DataCentre, View: v, Clock: clock, Client: c.upstream, Metrics: m,
 		Log: logs.Part(log, "entry"), MaxBodyBytes: cfg.MaxBodyBytes, MaxAnswerBytes: cfg.MaxAnswerBytes,
 		Propose: func(ctx context.Context, cmd state.Command) (state.Result, error) {
@@ -179,11 +181,13 @@
 			}
 			return rs[0], nil
 		},
-		Slots: func(ctx context.Context, t entry.Ticket) (model.Upstream, func(entry.Result), *proto.Error) {
-			u, release, err := local.Acquire(ctx, t.Upstreams)
-			return u, func(entry.Result) { release() }, err
-		},
-	})
+		Slots: s.acquire, Limit: lim.Take, Retry: rp, MaxHeaderBytes: cfg.MaxHeaderBytes,
+	}
+	if cfg.Policy == policyRelay {
+		ec.Relay = s.relay
+	}
+	s.server = entry.New(ec)
+	return s.server
 }
 
 func startRenewer(lc fx.Lifecycle, r *renewer) {
--- /dev/null
+++ b/internal/daemon/export_test.go
@@ -0,0 +1,61 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"baobabreach/internal/admit"
+	"baobabreach/internal/config"
+	"baobabreach/internal/entry"
+	"baobabreach/internal/metric"
+	"baobabreach/internal/model"
+	"baobabreach/internal/retry"
+	"baobabreach/internal/route"
+	"baobabreach/pkg/proto"
+
+	"github.com/gorilla/mux"
+)
+
+// TestHost is the admission of one host with its control routes, connected by dial.
+type TestHost struct {
+	slots   *slots
+	Control http.Handler
+}
+
+// NewTestHost returns a host whose clients dial with dial.
+func NewTestHost(
+	name string, policy config.Policy, v *route.View, clock Clock,
+	dial func(ctx context.Context, network, address string) (net.Conn, error),
+) *TestHost {
+	s := newSlots(config.Config{Host: name, DataCentre: "a", Policy: policy, MaxAnswerBytes: 1000}, v, clock, tokens{})
+	s.client.Transport.(*http.Transport).DialContext = dial
+	c := &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}
+	s.server = entry.New(entry.Config{
+		Host: name, View: v, Clock: clock, Client: c, Metrics: metric.New(), Retry: retry.NewPolicy(), MaxAnswerBytes: 1000,
+	})
+	m := mux.NewRouter()
+	s.routes(m)
+	return &TestHost{slots: s, Control: m}
+}
+
+// Acquire waits for a slot.
+func (h *TestHost) Acquire(ctx context.Context, t entry.Ticket) (model.Upstream, func(admit.Result), *proto.Error) {
+	return h.slots.acquire(ctx, t)
+}
+
+// Relay forwards a request through the dispatcher.
+func (h *TestHost) Relay(ctx context.Context, t entry.Ticket) (*entry.Answer, *proto.Error) {
+	return h.slots.relay(ctx, t, route.Target{})
+}
+
+// Run maintains the credits until ctx ends.
+func (h *TestHost) Run(ctx context.Context) { every(ctx, keepInterval, h.slots.maintain) }
+
+// Close ends idle connections.
+func (h *TestHost) Close() { h.slots.client.CloseIdleConnections() }
+
+// First returns the control address of the pool's first dispatcher.
+func (h *TestHost) First(service string) string {
+	return h.slots.dispatchers(poolID{Service: service, DataCentre: "a"})[0].Control
+}
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -26,6 +26,10 @@
 // readHeaderTimeout ends connections that send their headers too slowly.
 const readHeaderTimeout = 5 * time.Second
 
+// headerSlack lets headers somewhat above the limit reach the entry server, which refuses them with a typed error;
+// net/http answers with a bare status.
+const headerSlack = 4
+
 // stopper turns readiness off ahead of a stop.
 type stopper struct {
 	stopping atomic.Bool
@@ -45,6 +49,7 @@
 	Metrics *metric.Registry
 	Clock   Clock
 	Tokens  tokens
+	Slots   *slots
 }
 
 // servers are the HTTP servers of the three addresses.
@@ -56,7 +61,7 @@
 
 func newServers(p listenerParams) servers {
 	return servers{
-		callers:  newServer(callerRouter(p), p.Config.MaxHeaderBytes),
+		callers:  newServer(callerRouter(p), p.Config.MaxHeaderBytes*headerSlack),
 		control:  newServer(controlRouter(p), p.Config.MaxHeaderBytes),
 		operator: newServer(operatorRouter(p), p.Config.MaxHeaderBytes),
 	}
@@ -155,7 +160,7 @@
 
 func controlRouter(p listenerParams) http.Handler {
 	return control{
-		node: p.Replica.node.Load, leader: p.Leader, clock: p.Clock, token: p.Tokens.control,
+		node: p.Replica.node.Load, leader: p.Leader, clock: p.Clock, token: p.Tokens.control, slots: p.Slots,
 		info: func() (replicaInfo, bool) {
 			if i := p.Replica.info.Load(); i != nil {
 				return *i, true
--- a/internal/daemon/renew.go
+++ b/internal/daemon/renew.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"time"
 
+	"baobabreach/internal/limit"
 	"baobabreach/internal/owner"
 	"baobabreach/internal/peer"
 	"baobabreach/internal/route"
@@ -23,6 +24,7 @@
 	leader *peer.LeaderClient
 	clock  func() time.Duration
 	log    *slog.Logger
+	limits *limit.Host
 	// changed asks for a renewal at once.
 	changed chan struct{}
 }
@@ -56,11 +58,14 @@
 	present, oldest := r.view.Versions()
 	sentAt := r.clock()
 	l, err := peer.ToLeader[owner.Renewal, owner.Lease](ctx, r.leader, peer.PathRenew, renewTimeout,
-		owner.Renewal{Daemon: r.self, TableVersion: present, OldestVersion: oldest})
+		owner.Renewal{Daemon: r.self, TableVersion: present, OldestVersion: oldest, Demand: r.limits.Demand(sentAt)})
 	if err != nil {
 		return err
 	}
-	r.view.Update(sentAt, time.Duration(l.TTLMs)*time.Millisecond, l.Table, l.Daemons)
+	ttl := time.Duration(l.TTLMs) * time.Millisecond
+	r.view.Update(sentAt, ttl, l.Table, l.Daemons)
+	table, _ := r.view.Table()
+	r.limits.Update(r.clock(), sentAt+ttl, l.Shares, table.Limits)
 	return nil
 }
 
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -12,7 +12,9 @@
 	"sync/atomic"
 	"time"
 
+	"baobabreach/internal/admit"
 	"baobabreach/internal/model"
+	"baobabreach/internal/retry"
 	"baobabreach/internal/route"
 	"baobabreach/pkg/proto"
 
@@ -74,33 +76,130 @@
 	}
 }
 
-// forwardTo takes a slot and sends the request. mayForward is checked right before the send.
+// forwardTo takes a slot and sends the request, or hands both to the dispatcher. mayForward is checked right before
+// the send.
 func (s *Server) forwardTo(
 	ctx context.Context, q *Request, us []model.Upstream, t route.Target, mayForward func() bool,
 ) (*Answer, *proto.Error) {
-	u, release, err := s.cfg.Slots(ctx, Ticket{Request: q, Upstreams: us})
+	ticket := Ticket{Request: q, Upstreams: us}
+	if s.cfg.Relay != nil {
+		if mayForward != nil && !mayForward() {
+			return nil, errLeaseEnded()
+		}
+		return s.cfg.Relay(ctx, ticket, t)
+	}
+	return s.Forward(ctx, s.cfg.Slots, ticket, t, mayForward)
+}
+
+func errLeaseEnded() *proto.Error {
+	return proto.NotRun(proto.CodeNoLease, http.StatusServiceUnavailable, "the routing lease ended while the request waited")
+}
+
+// Forward takes a slot and sends the request once, or twice if it is hedged. mayForward may be nil.
+func (s *Server) Forward(
+	ctx context.Context, slots Slots, ticket Ticket, t route.Target, mayForward func() bool,
+) (*Answer, *proto.Error) {
+	u, release, err := slots(ctx, ticket)
 	if err != nil {
 		return nil, err
 	}
-	start := s.cfg.Clock()
 	if mayForward != nil && !mayForward() {
-		release(Result{Outcome: proto.OutcomeNotRun})
-		return nil, proto.NotRun(proto.CodeNoLease, http.StatusServiceUnavailable,
-			"the routing lease ended while the request waited")
+		release(admit.Result{Kind: admit.KindNeutral})
+		return nil, errLeaseEnded()
+	}
+	q := ticket.Request
+	delay, ok := s.cfg.Retry.HedgeDelay(q.Class)
+	if !ok || !q.Idempotent || q.Service.Keyed {
+		return s.sendAndRelease(ctx, q, u, t.Assignment, release)
 	}
-	a, err := s.send(ctx, q, u, t.Assignment)
-	r := Result{Outcome: proto.OutcomeDone, Elapsed: s.cfg.Clock() - start}
+	return s.hedged(ctx, slots, ticket, u, release, delay)
+}
+
+// sendAndRelease sends the request and gives the slot back with what the result tells about the upstream.
+func (s *Server) sendAndRelease(
+	ctx context.Context, q *Request, u model.Upstream, a model.Assignment, release func(admit.Result),
+) (*Answer, *proto.Error) {
+	start := s.cfg.Clock()
+	answer, err := s.send(ctx, q, u, a)
+	r := admit.Result{Kind: retry.Kind(err), Elapsed: s.cfg.Clock() - start}
 	if err != nil {
-		r.Outcome, r.Shed = err.Outcome, err.Code == proto.CodeOverloaded
+		r.RetryAfter = ms(err.RetryAfterMs)
+	} else {
+		s.cfg.Retry.Observe(q.Class, r.Elapsed)
+	}
+	if r.Kind == admit.KindFailed && errors.Is(ctx.Err(), context.Canceled) {
+		r.Kind = admit.KindNeutral
 	}
 	release(r)
-	return a, err
+	return answer, err
+}
+
+type attemptResult struct {
+	answer *Answer
+	err    *proto.Error
+}
+
+// hedged sends the request and, once it has taken longer than delay, a second time to another upstream that has room
+// at once. The first complete answer wins and the other send is cancelled.
+func (s *Server) hedged(
+	ctx context.Context, slots Slots, ticket Ticket, u model.Upstream, release func(admit.Result), delay time.Duration,
+) (*Answer, *proto.Error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan attemptResult, 2)
+	run := func(u model.Upstream, release func(admit.Result)) {
+		a, err := s.sendAndRelease(ctx, ticket.Request, u, model.Assignment{}, release)
+		results <- attemptResult{a, err}
+	}
+	go run(u, release)
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case r := <-results:
+		return r.answer, r.err
+	case <-timer.C:
+	}
+	sent := 1
+	if second, giveBack, ok := s.secondSlot(ctx, slots, ticket, u); ok {
+		s.cfg.Metrics.Count("hedged")
+		go run(second, giveBack)
+		sent++
+	}
+	r := <-results
+	if r.err != nil && sent == 2 {
+		ran := r.err.Outcome != proto.OutcomeNotRun
+		if r = <-results; r.err != nil {
+			r.err = mayHaveRun(r.err, ran)
+		}
+	}
+	return r.answer, r.err
+}
+
+// secondSlot takes a free slot of another upstream within the hedging budget.
+func (s *Server) secondSlot(
+	ctx context.Context, slots Slots, ticket Ticket, first model.Upstream,
+) (model.Upstream, func(admit.Result), bool) {
+	if !s.cfg.Retry.Hedge() {
+		return model.Upstream{}, nil, false
+	}
+	ticket.NoWait = true
+	u, release, err := slots(ctx, ticket)
+	if err != nil {
+		return u, nil, false
+	}
+	if u.Name == first.Name {
+		release(admit.Result{Kind: admit.KindNeutral})
+		return u, nil, false
+	}
+	return u, release, true
 }
 
 // send forwards the request once and reads the whole answer.
 func (s *Server) send(ctx context.Context, q *Request, u model.Upstream, a model.Assignment) (*Answer, *proto.Error) {
 	var wrote atomic.Bool
+	var conn atomic.Pointer[httptrace.GotConnInfo]
 	trace := &httptrace.ClientTrace{
+		GotConn:          func(i httptrace.GotConnInfo) { conn.Store(&i) },
 		WroteHeaderField: func(string, []string) { wrote.Store(true) },
 	}
 	req, err := newUpstreamRequest(httptrace.WithClientTrace(ctx, trace), q, u, a, s.cfg.Host)
@@ -119,7 +218,12 @@
 	if err != nil {
 		return nil, proto.Unknown(proto.CodeTruncatedAnswer, "the answer of upstream %s is truncated: %v", u.Name, err)
 	}
-	return s.classify(q, u, resp, body)
+	answer, perr := s.classify(q, u, resp, body)
+	if i := conn.Load(); i != nil && perr != nil && perr.Outcome == proto.OutcomeUnknown {
+		// The next response on a connection that delivered a wrong one can't be trusted.
+		_ = i.Conn.Close()
+	}
+	return answer, perr
 }
 
 // classify turns a whole answer of an upstream into an outcome.
@@ -145,8 +249,11 @@
 // refusedBy keeps the upstream's own reason for not running a request.
 func refusedBy(u model.Upstream, status int, body []byte) *proto.Error {
 	var e proto.Error
-	if err := json.Unmarshal(body, &e); err != nil || e.Code == "" {
-		e.Code = proto.CodeOverloaded
+	if err := json.Unmarshal(body, &e); err != nil || e.Code == "" || e.Code == proto.CodeOverloaded {
+		e.Code = proto.CodeUpstreamShed
+	}
+	if status < http.StatusBadRequest {
+		status = http.StatusServiceUnavailable
 	}
 	return proto.NotRun(e.Code, status, "upstream %s did not run the request: %s", u.Name, e.Message).
 		WithRetryAfterMs(e.RetryAfterMs)
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -28,26 +28,30 @@
 
 // Request is a checked request of a caller.
 type Request struct {
-	ID      string
-	Method  string
-	Path    string
-	Query   string
-	Header  http.Header
-	Body    []byte
-	Service model.Service
+	ID      string        `json:"id"`
+	Method  string        `json:"method"`
+	Path    string        `json:"path"`
+	Query   string        `json:"query"`
+	Header  http.Header   `json:"header"`
+	Body    []byte        `json:"body,omitempty"`
+	Service model.Service `json:"service"`
 	// Key is empty for a service not divided by key.
-	Key    string
-	Tenant string
-	Class  model.Class
+	Key    string      `json:"key"`
+	Tenant string      `json:"tenant"`
+	Class  model.Class `json:"class"`
 	// Deadline is the time left for the request at its arrival; positive.
-	Deadline   time.Duration
-	Idempotent bool
+	Deadline   time.Duration `json:"deadline_ns"`
+	Idempotent bool          `json:"idempotent"`
 	// Fingerprint identifies the content: service, key, method, path and body.
-	Fingerprint string
+	Fingerprint string `json:"fingerprint"`
 }
 
 // parse checks the request. Errors are of type *proto.Error with outcome not_run.
 func (s *Server) parse(w http.ResponseWriter, r *http.Request) (Request, *proto.Error) {
+	if n := headerBytes(r); s.cfg.MaxHeaderBytes > 0 && n > s.cfg.MaxHeaderBytes {
+		return Request{}, proto.NotRun(proto.CodeTooLarge, http.StatusRequestHeaderFieldsTooLarge,
+			"headers are larger than %d bytes", s.cfg.MaxHeaderBytes)
+	}
 	id, err := requestID(r)
 	if err != nil {
 		return Request{}, err
@@ -75,6 +79,16 @@
 	return q, nil
 }
 
+func headerBytes(r *http.Request) int64 {
+	n := len(r.RequestURI)
+	for k, vs := range r.Header {
+		for _, v := range vs {
+			n += len(k) + len(v)
+		}
+	}
+	return int64(n)
+}
+
 func requestID(r *http.Request) (string, *proto.Error) {
 	id := r.Header.Get(proto.HeaderRequestID)
 	if id == "" {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -9,10 +9,12 @@
 	"strconv"
 	"time"
 
+	"baobabreach/internal/admit"
 	"baobabreach/internal/claim"
 	"baobabreach/internal/metric"
 	"baobabreach/internal/model"
 	"baobabreach/internal/peer"
+	"baobabreach/internal/retry"
 	"baobabreach/internal/route"
 	"baobabreach/internal/state"
 	"baobabreach/pkg/proto"
@@ -30,7 +32,14 @@
 	// Propose commits one command on the leader, retrying until ctx ends.
 	Propose func(ctx context.Context, c state.Command) (state.Result, error)
 	// Slots waits for a free slot of one of the upstreams. The returned function gives the slot back.
-	Slots          func(ctx context.Context, t Ticket) (model.Upstream, func(Result), *proto.Error)
+	Slots Slots
+	// Relay hands the request to the dispatcher of its slot pool instead, unless it is nil.
+	Relay func(ctx context.Context, t Ticket, to route.Target) (*Answer, *proto.Error)
+	// Limit refuses requests over the limit of their tenant and class; nil means no limits.
+	Limit func(now time.Duration, tenant string, class model.Class) (retryAfter time.Duration, ok bool)
+	Retry *retry.Policy
+	// MaxHeaderBytes bounds the sum of the header names and values; 0 means no bound.
+	MaxHeaderBytes int64
 	Client         *http.Client
 	Metrics        *metric.Registry
 	Log            *slog.Logger
@@ -38,27 +47,26 @@
 	MaxAnswerBytes int64
 }
 
+// Slots waits for a slot for a request. The returned function gives the slot back and must be called once.
+type Slots func(ctx context.Context, t Ticket) (model.Upstream, func(admit.Result), *proto.Error)
+
 // Ticket describes a request that waits for a slot.
 type Ticket struct {
 	Request   *Request
 	Upstreams []model.Upstream
-}
-
-// Result tells how a forwarded request ended, for accounting.
-type Result struct {
-	Outcome proto.Outcome
-	Elapsed time.Duration
-	// Shed is true if the upstream refused the request without running it.
-	Shed bool
+	// NoWait refuses the request unless a slot is free at once.
+	NoWait bool
 }
 
 // Answer is the whole answer of an upstream.
 type Answer struct {
-	Status   int
-	Header   http.Header
-	Body     []byte
-	Upstream string
-	Outcome  proto.Outcome
+	Status   int           `json:"status"`
+	Header   http.Header   `json:"header"`
+	Body     []byte        `json:"body,omitempty"`
+	Upstream string        `json:"upstream"`
+	Outcome  proto.Outcome `json:"outcome"`
+	// RequestID is set on relayed answers only.
+	RequestID string `json:"request_id"`
 }
 
 // Server handles caller requests. It is safe for concurrent use.
@@ -80,11 +88,20 @@
 		peer.WriteError(w, perr.WithRequestID(q.ID))
 		return
 	}
+	if perr := s.limited(start, &q); perr != nil {
+		s.cfg.Metrics.Count("refused." + string(perr.Code))
+		peer.WriteError(w, perr.WithRequestID(q.ID))
+		return
+	}
+	s.cfg.Retry.Started()
 	ctx, cancel := context.WithTimeout(r.Context(), q.Deadline)
 	defer cancel()
 	a, perr := s.run(ctx, &q)
 	elapsed := s.cfg.Clock() - start
 	if perr != nil {
+		if perr.Code == proto.CodeUpstreamShed {
+			perr.Code = proto.CodeOverloaded
+		}
 		s.cfg.Metrics.Observe(q.Tenant, q.Class, perr.Outcome, elapsed)
 		s.cfg.Metrics.Count("refused." + string(perr.Code))
 		peer.WriteError(w, perr.WithRequestID(q.ID))
@@ -101,27 +118,66 @@
 	return s.runOnce(ctx, q)
 }
 
-// maxTries bounds the tries of an idempotent request.
-const maxTries = 3
+// limited refuses a request over the limit of its tenant and class.
+func (s *Server) limited(now time.Duration, q *Request) *proto.Error {
+	if s.cfg.Limit == nil {
+		return nil
+	}
+	wait, ok := s.cfg.Limit(now, q.Tenant, q.Class)
+	if ok {
+		return nil
+	}
+	return proto.NotRun(proto.CodeLimited, http.StatusTooManyRequests, "tenant %s is over its limit of %s requests",
+		q.Tenant, q.Class).WithRetryAfterMs(max(1, wait.Milliseconds()))
+}
 
 func (s *Server) runIdempotent(ctx context.Context, q *Request) (*Answer, *proto.Error) {
-	var last *proto.Error
-	for range maxTries {
+	var tries retry.Attempts
+	ran := false
+	for {
+		// The channel is taken before the attempt, so that a table that arrives during it ends the wait.
+		_, changed := s.cfg.View.Table()
 		a, err := s.attempt(ctx, q)
-		if err == nil || ctx.Err() != nil || !retryable(err.Code) {
-			return a, err
+		if err == nil {
+			return a, nil
+		}
+		// A refusal after a send with an unknown outcome doesn't make the request one that was not run.
+		ran = ran || err.Outcome != proto.OutcomeNotRun
+		err = mayHaveRun(err, ran)
+		if ctx.Err() != nil {
+			return nil, err
+		}
+		action, wait := s.cfg.Retry.Decide(&tries, true, err)
+		if action == retry.ActionStop {
+			return nil, err
 		}
-		last = err
+		if action == retry.ActionAwait && !pause(ctx, changed, wait) {
+			return nil, err
+		}
+	}
+}
+
+// mayHaveRun returns err with the outcome unknown if an earlier send of the request may have been executed.
+func mayHaveRun(err *proto.Error, ran bool) *proto.Error {
+	if !ran || err.Outcome == proto.OutcomeUnknown {
+		return err
 	}
-	return nil, last
+	e := *err
+	e.Outcome = proto.OutcomeUnknown
+	return &e
 }
 
-func retryable(c proto.Code) bool {
-	switch c {
-	case proto.CodeUpstreamFailed, proto.CodeStaleGrant, proto.CodeCrossedAnswer, proto.CodeTruncatedAnswer:
-		return true
+// pause waits for a newer table, at most for the given time. It returns false if ctx ended.
+func pause(ctx context.Context, changed <-chan struct{}, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-changed:
+	case <-t.C:
+	case <-ctx.Done():
+		return false
 	}
-	return false
+	return true
 }
 
 // runOnce claims the request before the only send.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -7,6 +7,7 @@
 	"sort"
 	"time"
 
+	"baobabreach/internal/limit"
 	"baobabreach/internal/model"
 	"baobabreach/internal/route"
 	"baobabreach/internal/state"
@@ -29,6 +30,8 @@
 	TableVersion uint64 `json:"table_version"`
 	// OldestVersion is the oldest table version that a keyed request in flight was routed by.
 	OldestVersion uint64 `json:"oldest_version"`
+	// Demand is in requests per second by limit key.
+	Demand map[string]float64 `json:"demand,omitempty"`
 }
 
 // Lease answers a Renewal.
@@ -38,6 +41,8 @@
 	Version uint64         `json:"version"`
 	Table   *route.Table   `json:"table,omitempty"`
 	Daemons []route.Daemon `json:"daemons"`
+	// Shares of the limits, in requests per second by limit key; valid as long as the lease.
+	Shares map[string]float64 `json:"shares,omitempty"`
 }
 
 // Config configures a Planner.
@@ -69,13 +74,15 @@
 	hosts     map[string]*entryHost
 	// quietUntil is when every grant and lease of an earlier leader has ended.
 	quietUntil time.Duration
+	limits     *limit.Dealer
 }
 
 // New returns a planner that has just become the leader at the time now.
 func New(cfg Config, now time.Duration) *Planner {
+	quiet := now + proto.WithDrift(max(proto.GrantTTL, LeaseTTL))
 	return &Planner{
-		cfg: cfg, upstreams: map[string]*liveness{}, hosts: map[string]*entryHost{},
-		quietUntil: now + proto.WithDrift(max(proto.GrantTTL, LeaseTTL)),
+		cfg: cfg, upstreams: map[string]*liveness{}, hosts: map[string]*entryHost{}, quietUntil: quiet,
+		limits: limit.NewDealer(quiet),
 	}
 }
 
@@ -162,6 +169,7 @@
 	h.daemon, h.oldest = r.Daemon, min(r.TableVersion, r.OldestVersion)
 	h.leasedUntil = now + proto.WithDrift(LeaseTTL)
 	l := Lease{TTLMs: LeaseTTL.Milliseconds(), Version: s.Version, Daemons: p.daemons(now)}
+	l.Shares = p.limits.Deal(now, h.leasedUntil, r.Daemon.Host, r.Demand, s.Limits)
 	if r.TableVersion != s.Version {
 		l.Table = route.NewTable(s)
 	}
