--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -27,6 +27,7 @@
 	token  string
 	// operate serves what other daemons ask on behalf of operators.
 	operate operate
+	slots   *slots
 }
 
 func (c control) router() http.Handler {
@@ -41,6 +42,7 @@
 	m.Handle(peer.PathCrash, peer.Handle(peer.MaxBodyBytes, c.crash)).Methods(http.MethodPost)
 	m.Handle(peer.PathPermit, peer.Handle(peer.MaxBodyBytes, c.permit)).Methods(http.MethodPost)
 	c.operate.mountControl(m)
+	c.slots.routes(m)
 	m.NotFoundHandler = notFound()
 	m.MethodNotAllowedHandler = notFound()
 	return requireToken(c.token, m)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,24 +12,23 @@
 	"sync/atomic"
 	"time"
 
-	"baobabreach/internal/admit"
 	"baobabreach/internal/audit"
 	"baobabreach/internal/clock"
 	"baobabreach/internal/config"
 	"baobabreach/internal/entry"
 	"baobabreach/internal/errs"
+	"baobabreach/internal/limit"
 	"baobabreach/internal/logs"
 	"baobabreach/internal/metric"
-	"baobabreach/internal/model"
 	"baobabreach/internal/node"
 	"baobabreach/internal/owner"
 	"baobabreach/internal/peer"
 	"baobabreach/internal/poison"
 	"baobabreach/internal/raft"
+	"baobabreach/internal/retry"
 	"baobabreach/internal/route"
 	"baobabreach/internal/state"
 	"baobabreach/internal/store"
-	"baobabreach/pkg/proto"
 
 	"github.com/go-faster/errors"
 
@@ -70,9 +69,10 @@
 		fx.Supply(cfg, dial),
 		fx.Provide(
 			newLogger, newClock, newTokens, newClients, newLeaderClient, metric.New, route.NewView,
-			newReplica, newRenewer, newGuard, newEntry, newStopper, newServers, newAudit,
+			newReplica, newRenewer, newSlots, limit.NewHost, retry.NewPolicy, newGuard, newEntry, newStopper, newServers,
+			newAudit,
 		),
-		fx.Invoke(startListeners, startReplica, startRenewer, startDrain),
+		fx.Invoke(startListeners, startReplica, startRenewer, startSlots, startDrain),
 	)
 }
 
@@ -125,7 +125,9 @@
 
 // clients are the HTTP clients towards daemons and upstreams.
 type clients struct {
-	control  *http.Client
+	control *http.Client
+	// dispatch carries credits and relayed requests, which may be many and large.
+	dispatch *http.Client
 	upstream *http.Client
 }
 
@@ -142,6 +144,10 @@
 		control: &http.Client{Transport: &http.Transport{
 			DialContext: countedDial(dial, m), MaxIdleConnsPerHost: maxIdlePerHost, IdleConnTimeout: idleConnectionTimeout,
 		}},
+		dispatch: &http.Client{Transport: &http.Transport{
+			DialContext: dial, MaxIdleConnsPerHost: maxDispatchConns, IdleConnTimeout: idleConnectionTimeout,
+			DisableCompression: true,
+		}},
 		upstream: &http.Client{
 			Transport: &http.Transport{
 				DialContext: dial, MaxIdleConnsPerHost: maxUpstreamConns, MaxConnsPerHost: maxUpstreamConns,
@@ -165,11 +171,13 @@
 func newReplica() *replica { return &replica{} }
 
 func newRenewer(
-	cfg config.Config, v *route.View, l *peer.LeaderClient, now Clock, g *entry.Guard, log *slog.Logger,
+	cfg config.Config, v *route.View, l *peer.LeaderClient, now Clock, g *entry.Guard, lim *limit.Host,
+	log *slog.Logger,
 ) *renewer {
 	return &renewer{
-		self: route.Daemon{Host: cfg.Host, DataCentre: cfg.DataCentre, Control: cfg.Control, Caller: cfg.Caller},
-		view: v, leader: l, clock: now, log: logs.Part(log, "lease"), changed: make(chan struct{}), guard: g,
+		limits: lim,
+		self:   route.Daemon{Host: cfg.Host, DataCentre: cfg.DataCentre, Control: cfg.Control, Caller: cfg.Caller},
+		view:   v, leader: l, clock: now, log: logs.Part(log, "lease"), changed: make(chan struct{}), guard: g,
 	}
 }
 
@@ -195,10 +203,9 @@
 
 func newEntry(
 	cfg config.Config, v *route.View, l *peer.LeaderClient, c clients, g *entry.Guard, m *metric.Registry,
-	ring *audit.Ring, now Clock, log *slog.Logger,
+	ring *audit.Ring, now Clock, s *slots, lim *limit.Host, rp *retry.Policy, log *slog.Logger,
 ) *entry.Server {
-	local := admit.NewLocal()
-	return entry.New(entry.Config{
+	ec := entry.Config{
 		Host: cfg.Host, DataCentre: cfg.DataCentre, View: v, Clock: now, Guard: g, Client: c.upstream,
 		Metrics: m, Audit: ring,
 		Log: logs.Part(log, "entry"), MaxBodyBytes: cfg.MaxBodyBytes, MaxAnswerBytes: cfg.MaxAnswerBytes,
@@ -213,11 +220,13 @@
 			}
 			return rs[0], nil
 		},
-		Slots: func(ctx context.Context, t entry.Ticket) (model.Upstream, func(entry.Result), *proto.Error) {
-			u, release, err := local.Acquire(ctx, t.Upstreams)
-			return u, func(entry.Result) { release() }, err
-		},
-	})
+		Slots: s.acquire, Limit: lim.Take, Retry: rp, MaxHeaderBytes: cfg.MaxHeaderBytes,
+	}
+	if cfg.Policy == policyRelay {
+		ec.Relay = s.relay
+	}
+	s.server = entry.New(ec)
+	return s.server
 }
 
 func startRenewer(lc fx.Lifecycle, r *renewer) {
--- a/internal/daemon/renew.go
+++ b/internal/daemon/renew.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"baobabreach/internal/entry"
+	"baobabreach/internal/limit"
 	"baobabreach/internal/owner"
 	"baobabreach/internal/peer"
 	"baobabreach/internal/route"
@@ -24,6 +25,7 @@
 	leader *peer.LeaderClient
 	clock  func() time.Duration
 	log    *slog.Logger
+	limits *limit.Host
 	// changed asks for a renewal at once.
 	changed chan struct{}
 	guard   *entry.Guard
@@ -53,17 +55,20 @@
 		owner.Renewal{
 			Daemon: r.self, TableVersion: present, OldestVersion: oldest, Revision: table.Revision,
 			SuspectsVersion: r.guard.Version(), Load: r.view.Report(sentAt),
-			DaemonsSum: route.SumDaemons(r.view.Daemons()),
+			Demand: r.limits.Demand(sentAt), DaemonsSum: route.SumDaemons(r.view.Daemons()),
 		})
 	if err != nil {
 		return err
 	}
+	ttl := time.Duration(l.TTLMs) * time.Millisecond
 	r.view.Update(sentAt, route.Update{
-		TTL: time.Duration(l.TTLMs) * time.Millisecond, Version: l.Version, Table: l.Table, Delta: l.Delta, Daemons: l.Daemons,
+		TTL: ttl, Version: l.Version, Table: l.Table, Delta: l.Delta, Daemons: l.Daemons,
 	})
 	if l.Suspects != nil {
 		r.guard.Update(ctx, *l.Suspects)
 	}
+	table, _ = r.view.Table()
+	r.limits.Update(r.clock(), sentAt+ttl, l.Shares, table.Limits)
 	return nil
 }
 
--- a/internal/entry/audit_test.go
+++ b/internal/entry/audit_test.go
@@ -10,10 +10,12 @@
 	"github.com/gorilla/mux"
 	"github.com/matryer/is"
 
+	"baobabreach/internal/admit"
 	"baobabreach/internal/audit"
 	"baobabreach/internal/entry"
 	"baobabreach/internal/metric"
 	"baobabreach/internal/model"
+	"baobabreach/internal/retry"
 	"baobabreach/internal/route"
 	"baobabreach/pkg/proto"
 )
@@ -36,9 +38,9 @@
 	now := time.Duration(0)
 	s := entry.New(entry.Config{
 		Host: "a1", View: view, Clock: func() time.Duration { return now }, Client: upstream.Client(), Metrics: metric.New(),
-		Audit: ring, MaxBodyBytes: 1 << 10, MaxAnswerBytes: 1 << 10,
-		Slots: func(context.Context, entry.Ticket) (model.Upstream, func(entry.Result), *proto.Error) {
-			return u, func(entry.Result) {}, nil
+		Audit: ring, Retry: retry.NewPolicy(), MaxBodyBytes: 1 << 10, MaxAnswerBytes: 1 << 10,
+		Slots: func(context.Context, entry.Ticket) (model.Upstream, func(admit.Result), *proto.Error) {
+			return u, func(admit.Result) {}, nil
 		},
 	})
 	router := mux.NewRouter()
--- a/internal/entry/lease_test.go
+++ b/internal/entry/lease_test.go
@@ -14,9 +14,11 @@
 	"github.com/gorilla/mux"
 	"github.com/matryer/is"
 
+	"baobabreach/internal/admit"
 	"baobabreach/internal/entry"
 	"baobabreach/internal/metric"
 	"baobabreach/internal/model"
+	"baobabreach/internal/retry"
 	"baobabreach/internal/route"
 	"baobabreach/pkg/proto"
 )
@@ -42,9 +44,10 @@
 			var ended time.Duration
 			server := entry.New(entry.Config{
 				Host: "h", View: v, Clock: func() time.Duration { return time.Since(start) }, Metrics: metric.New(),
-				Log: slog.New(slog.DiscardHandler), MaxBodyBytes: 1 << 20, MaxAnswerBytes: 1 << 20,
-				Slots: func(_ context.Context, t entry.Ticket) (model.Upstream, func(entry.Result), *proto.Error) {
-					return t.Upstreams[0], func(entry.Result) {}, nil
+				Retry: retry.NewPolicy(),
+				Log:   slog.New(slog.DiscardHandler), MaxBodyBytes: 1 << 20, MaxAnswerBytes: 1 << 20,
+				Slots: func(_ context.Context, t entry.Ticket) (model.Upstream, func(admit.Result), *proto.Error) {
+					return t.Upstreams[0], func(admit.Result) {}, nil
 				},
 				Client: &http.Client{Transport: transport(func(r *http.Request) (*http.Response, error) {
 					_, _ = io.Copy(io.Discard, r.Body)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"baobabreach/internal/limit"
 	"baobabreach/internal/model"
 	"baobabreach/internal/poison"
 	"baobabreach/internal/route"
@@ -39,6 +40,8 @@
 	Load *route.Load `json:"load,omitempty"`
 	// DaemonsSum identifies the list of daemons that the host has.
 	DaemonsSum uint64 `json:"daemons_sum"`
+	// Demand is in requests per second by limit key.
+	Demand map[string]float64 `json:"demand,omitempty"`
 }
 
 // Versions tells what a host has of the leader's state.
@@ -59,6 +62,8 @@
 	Daemons []route.Daemon `json:"daemons,omitempty"`
 	// Suspects is nil if the host has the present list.
 	Suspects *poison.List `json:"suspects,omitempty"`
+	// Shares of the limits, in requests per second by limit key; valid as long as the lease.
+	Shares map[string]float64 `json:"shares,omitempty"`
 }
 
 // Config configures a Planner.
@@ -114,6 +119,7 @@
 	quietUntil time.Duration
 	history    history
 	load       load
+	limits     *limit.Dealer
 }
 
 // New returns a planner that has just become the leader at the time now.
@@ -124,6 +130,7 @@
 func newPlanner(cfg Config, t timing, now time.Duration) *Planner {
 	p := &Planner{
 		cfg: cfg, timing: t, upstreams: map[string]*liveness{}, hosts: map[string]*entryHost{}, load: newLoad(),
+		limits: limit.NewDealer(now + t.margin(max(proto.GrantTTL, LeaseTTL))),
 	}
 	if t.waitPredecessor {
 		p.quietUntil = now + t.margin(max(proto.GrantTTL, LeaseTTL))
@@ -254,6 +261,7 @@
 	if ds := p.daemons(now); route.SumDaemons(ds) != r.DaemonsSum {
 		l.Daemons = ds
 	}
+	l.Shares = p.limits.Deal(now, h.leasedUntil, r.Daemon.Host, r.Demand, s.Limits)
 	if r.TableVersion < s.Version {
 		l.Table, l.Delta = p.history.since(s, r.TableVersion)
 	}
