--- a/internal/raft/log.go
+++ b/internal/raft/log.go
@@ -56,6 +56,10 @@
 		return
 	}
 	p.ackedAt = max(p.ackedAt, msg.SentAt)
+	if p.next > m.baseIndex {
+		// A late reply showed that the log is enough. The snapshot may have been lost, so nothing waits for it.
+		p.snapshotIndex = 0
+	}
 	if !msg.Granted {
 		// While a snapshot is under way, a rejection only confirms that it has not arrived. A rejection of a message
 		// from before the last retry is already answered by it: to answer each one again lets reordered and
--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -62,6 +62,12 @@
 	}
 }
 
+// Guards against a replica that is never caught up: the leader waited for a lost snapshot although a late reply had
+// moved the replica back to the log, and ignored its rejections. Found by a soak run.
+func TestSnapshotOvertakenByALateReply(t *testing.T) {
+	is.New(t).NoErr(run(schedules.Example(20286186), defences{}))
+}
+
 // Guards against a commit of an earlier term's entry by counting replicas: a replica that holds it still votes for a
 // candidate with a later term, which then replaces it. Random schedules did not find this within 4,000 runs.
 func TestOwnTermOnly(t *testing.T) {
