Make renewals and announcements cost the same for any number of hosts and ranges

Cause: each renewal sorted and hashed the list of all hosts, and each announcement scanned all ranges. The list is rebuilt when a host appears, changes or may have lost its lease; the index with each new state.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -120,6 +120,8 @@
 	history    history
 	load       load
 	limits     *limit.Dealer
+	index      rangeIndex
+	list       daemonList
 }
 
 // New returns a planner that has just become the leader at the time now.
@@ -208,7 +210,7 @@
 		return g
 	}
 	owned, home := 0, 0
-	for i := range s.Ranges {
+	for _, i := range p.index.of(s, registered.Name) {
 		a := &s.Ranges[i]
 		if !a.OwnedBy(registered) {
 			continue
@@ -258,7 +260,7 @@
 	h.revision = r.Revision
 	h.leasedUntil = max(h.leasedUntil, now+p.timing.margin(LeaseTTL))
 	l := Lease{TTLMs: LeaseTTL.Milliseconds(), Version: s.Version}
-	if ds := p.daemons(now); route.SumDaemons(ds) != r.DaemonsSum {
+	if ds, sum := p.liveDaemons(now, h); sum != r.DaemonsSum {
 		l.Daemons = ds
 	}
 	l.Shares = p.limits.Deal(now, h.leasedUntil, r.Daemon.Host, r.Demand, s.Limits)
@@ -268,16 +270,6 @@
 	return l
 }
 
-func (p *Planner) daemons(now time.Duration) []route.Daemon {
-	out := make([]route.Daemon, 0, len(p.hosts))
-	for _, name := range sortedKeys(p.hosts) {
-		if now < p.hosts[name].leasedUntil {
-			out = append(out, p.hosts[name].daemon)
-		}
-	}
-	return out
-}
-
 // unused tells whether no entry host may still route by a table older than the version.
 func (p *Planner) unused(now time.Duration, version uint64) bool {
 	if !p.timing.waitRoutes {
