--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -28,7 +28,8 @@
 			self := raft.Member{ID: l.Identity.ID, Host: "a"}
 			n, err := node.New(node.Config{
 				Self: self, Store: s, Loaded: l, Members: raft.Members{Voters: []raft.Member{self}}, Random: rand.Int64N,
-				Clock: func() time.Duration { return time.Since(begin) }, WallMs: func() int64 { return 0 }, Log: slog.New(slog.DiscardHandler),
+				Clock: func() time.Duration { return time.Since(begin) }, WallMs: func() int64 { return 0 },
+				Log:  slog.New(slog.DiscardHandler),
 				Send: func(raft.Member, []raft.Message) {},
 			})
 			is.NoErr(err)
