Let operators remove a replica and let it join again

The intent to change replicas was refused as not_supported. It now removes the replica of a host, or lets the host of a removed one join again with an empty data folder. The confirmation sets a flag of the host in the replicated state; the leader removes its members one at a time through raft.Machine.ProposeMembers and lets no replica of the host join or be promoted while the flag is set. Replacing the disk of a host of the settings still needs no intent.

A member list is in force from its append, so a list without a reachable majority would stop the group for good. The leader therefore proposes no such list, and such intents are refused as members_unsafe at the plan and, because the group changes without a new revision, again at the confirmation. While another host's replica joins or leaves, an intent is refused as members_changing. Plans warn when one replica is left, when no further loss is tolerated, and when the host leads.

Ruled out: taking the member list from the log on each replica. The first list is not an entry, and a replica that joined later starts with another, so replicas could plan differently. The leader's view is part of the command.

Not done: a replica on a host that is not in [cluster] replicas, which stays not_supported. Every daemon looks for the leader among the replicas of its settings and would not find one there.

status shows the members with role, progress and removal; its warnings count voters that the leader reaches instead of the replicas of the settings.

--- a/internal/cmds/plan.go
+++ b/internal/cmds/plan.go
@@ -179,7 +179,7 @@
 
 type planMembersCmd struct {
 	planFlags
-	Add    string `xor:"change" required:"" help:"Host whose replica joins."`
+	Add    string `xor:"change" required:"" help:"Host of the settings whose removed replica may join again."`
 	Remove string `xor:"change" required:"" help:"Host whose replica leaves."`
 }
 
--- a/internal/cmds/query.go
+++ b/internal/cmds/query.go
@@ -51,6 +51,10 @@
 }
 
 func printFleet(w io.Writer, f opapi.Fleet) {
+	row(w, "\nMEMBER", "ID", "ROLE", "LIVE", "SYNCED", "BEHIND", "REMOVED")
+	for _, m := range f.Members {
+		row(w, m.Host, m.ID, m.Role, m.Live, m.Synced, m.Behind, m.Removed)
+	}
 	row(w, "\nSERVICE", "KEYED", "CLASS", "UPSTREAMS", "RANGES FREE", "RELEASING", "OWNERS")
 	for _, v := range f.Services {
 		var owners []string
--- a/internal/intent/intent.go
+++ b/internal/intent/intent.go
@@ -20,6 +20,10 @@
 	CodeIntentExpired proto.Code = "intent_expired"
 	// CodeNotSupported refuses an intent whose command does not exist yet.
 	CodeNotSupported proto.Code = "not_supported"
+	// CodeMembersChanging refuses a change of replicas while another one is carried out.
+	CodeMembersChanging proto.Code = "members_changing"
+	// CodeMembersUnsafe refuses a change of replicas that would leave no majority.
+	CodeMembersUnsafe proto.Code = "members_unsafe"
 )
 
 // Limits of the fields of an intent.
@@ -87,7 +91,7 @@
 	Key     string `json:"key"`
 }
 
-// Members adds or removes one replica by host.
+// Members lets the replica of a host of the settings join again after its removal, or removes one.
 type Members struct {
 	Add    string `json:"add,omitempty"`
 	Remove string `json:"remove,omitempty"`
@@ -227,7 +231,7 @@
 		}
 		return notSupported("the command that splits a range does not exist yet")
 	case in.Members != nil:
-		return notSupported("replicas can't join or leave a running group yet")
+		return validateMembers(*in.Members, s)
 	}
 	return nil
 }
--- a/internal/intent/plan.go
+++ b/internal/intent/plan.go
@@ -84,6 +84,8 @@
 		return s.WithStoppedDC(in.ReturnDC.Name, false)
 	case in.Limit != nil:
 		return s.WithLimit(model.Limit(*in.Limit))
+	case in.Members != nil:
+		return s.WithRemovedReplica(in.Members.Add+in.Members.Remove, in.Members.Remove != "")
 	}
 	return s
 }
@@ -250,6 +252,8 @@
 	case in.Limit != nil:
 		key := model.Limit(*in.Limit).Key()
 		return []string{fmt.Sprintf("limit %s: %s -> %s", key, rate(before, key), rate(after, key))}
+	case in.Members != nil:
+		return describeMembers(*in.Members, before, after)
 	}
 	return []string{}
 }
@@ -308,6 +312,9 @@
 	if in.Keyed != nil {
 		out = append(out, keyedWarnings(before, in.Keyed.Service)...)
 	}
+	if in.Members != nil {
+		out = append(out, memberWarnings(*in.Members, before)...)
+	}
 	if in.Service != nil && in.Service.Idempotent != nil && *in.Service.Idempotent {
 		out = append(out, "requests of every method may be repeated after a failure")
 	}
--- a/internal/intent/table.go
+++ b/internal/intent/table.go
@@ -168,6 +168,12 @@
 	if p.Revision != s.Revision && !t.ignoreRevision {
 		return Result{Refusal: t.outdated(p, s.Revision)}, s
 	}
+	// The group changes without a new revision when a lost disk is replaced, so its state is checked again.
+	if r.Intent.Members != nil {
+		if err := Validate(r.Intent, s); err != nil {
+			return refused(err), s
+		}
+	}
 	next := Apply(r.Intent, s).WithRevision(s.Revision + 1)
 	c := Change{Revision: next.Revision, IntentID: p.ID, Operator: operator, Changes: p.Changes}
 	t.History = append(t.History, c)
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -121,6 +121,35 @@
 	Limits      map[string]Limit `json:"limits"`
 	NextRangeID uint64           `json:"next_range_id"`
 	NextEpoch   uint64           `json:"next_epoch"`
+	// RemovedReplicas names the hosts whose replica an operator removed; they leave the group and can't join it.
+	RemovedReplicas map[string]bool `json:"removed_replicas,omitempty"`
+	// Members is the leader's view of the group. It is set only while an intent is planned or confirmed.
+	Members []Member `json:"-"`
+}
+
+// MemberRole is the part of a replica in the group.
+type MemberRole string
+
+const (
+	// RoleVoter counts in majorities.
+	RoleVoter MemberRole = "voter"
+	// RoleLearner receives the log but counts in no majority.
+	RoleLearner MemberRole = "learner"
+	// RoleNone is a host of the settings without a replica in the group.
+	RoleNone MemberRole = "none"
+)
+
+// Member is one replica, or a host of the settings without one. A host occurs twice while its disk is replaced.
+type Member struct {
+	Host string `json:"host"`
+	// ID is the identity of the disk; empty with RoleNone.
+	ID   string     `json:"id,omitempty"`
+	Role MemberRole `json:"role"`
+	// Live tells whether the replica answered the leader within the minimum election timeout.
+	Live   bool `json:"live"`
+	Leader bool `json:"leader,omitempty"`
+	// Synced is the last log index that the leader knows to be on the replica's disk.
+	Synced uint64 `json:"synced"`
 }
 
 // NewState returns an empty state.
@@ -128,6 +157,7 @@
 	return &State{
 		Services: map[string]Service{}, Upstreams: map[string]Upstream{}, Drained: map[string]bool{},
 		StoppedDCs: map[string]bool{}, Limits: map[string]Limit{}, NextRangeID: 1, NextEpoch: 1,
+		RemovedReplicas: map[string]bool{},
 	}
 }
 
@@ -234,6 +264,20 @@
 	return &c
 }
 
+// WithRemovedReplica returns a copy in which the replica of the host is or is not removed by an operator.
+func (s *State) WithRemovedReplica(host string, removed bool) *State {
+	c := *s
+	c.RemovedReplicas = withFlag(s.RemovedReplicas, host, removed)
+	return &c
+}
+
+// WithMembers returns a copy with the leader's view of the group.
+func (s *State) WithMembers(ms []Member) *State {
+	c := *s
+	c.Members = ms
+	return &c
+}
+
 // WithLimit returns a copy with the limit set, or removed if its rate is not positive.
 func (s *State) WithLimit(l Limit) *State {
 	c := *s
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -24,7 +24,7 @@
 	if !n.leads(n.cfg.Clock()) {
 		return nil, n.notLeader()
 	}
-	n.stampClaims(cs)
+	n.stamp(cs)
 	p := proposal{commands: cs, done: make(chan outcome, 1)}
 	select {
 	case n.proposed <- p:
@@ -43,9 +43,9 @@
 	}
 }
 
-// stampClaims gives claims the leader's wall clock. The clock of the host that serves the caller is not used: one host
-// with a clock far ahead would make the ids of all others look expired.
-func (n *Node) stampClaims(cs []state.Command) {
+// stamp gives claims the leader's wall clock and intents its view of the group. The clock of the host that serves the
+// caller is not used: one host with a clock far ahead would make the ids of all others look expired.
+func (n *Node) stamp(cs []state.Command) {
 	for i := range cs {
 		if c := cs[i].Claim; c != nil {
 			stamped := *c
@@ -57,6 +57,16 @@
 			stamped.NowMs = n.cfg.WallMs()
 			cs[i].Abandon = &stamped
 		}
+		if c := cs[i].Plan; c != nil {
+			stamped := *c
+			stamped.Members = n.Status().Group
+			cs[i].Plan = &stamped
+		}
+		if c := cs[i].Confirm; c != nil {
+			stamped := *c
+			stamped.Members = n.Status().Group
+			cs[i].Confirm = &stamped
+		}
 	}
 }
 
--- a/internal/node/join.go
+++ b/internal/node/join.go
@@ -4,8 +4,10 @@
 	"context"
 	"net/http"
 	"slices"
+	"time"
 
 	"baobabreach/internal/config"
+	"baobabreach/internal/model"
 	"baobabreach/internal/raft"
 	"baobabreach/pkg/proto"
 )
@@ -50,6 +52,10 @@
 	if now >= n.raft.LeaseUntil() {
 		return raft.Members{}, n.notLeader()
 	}
+	if n.state.Model().RemovedReplicas[m.Host] {
+		return raft.Members{}, proto.NotRun(proto.CodeConflict, http.StatusConflict,
+			"the replica of host %s was removed by an operator", m.Host)
+	}
 	next, missing := n.raft.Members().WithLearner(m)
 	if !missing && !n.raft.ChangePending() {
 		return next, nil
@@ -63,14 +69,17 @@
 		"the membership of host %s is not committed yet", m.Host)
 }
 
-// repair proposes the next change that replaces a lost disk: promote a synced learner, then remove the identity
-// that the same host has lost.
+// repair proposes the next change of members: it removes the replicas that operators removed, and replaces lost disks:
+// promote a synced learner, then remove the identity that the same host has lost.
 func (n *Node) repair() {
 	now := n.cfg.Clock()
 	if now >= n.raft.LeaseUntil() || n.raft.ChangePending() {
 		return
 	}
-	next, ok := n.raft.Members().NextRepair(n.raft.HasSynced)
+	next, ok := n.nextRemoval(now)
+	if !ok {
+		next, ok = n.raft.Members().NextRepair(n.mayPromote)
+	}
 	if !ok {
 		return
 	}
@@ -81,6 +90,59 @@
 	n.cfg.Log.Info("changing members", "voters", ids(next.Voters), "learners", ids(next.Learners))
 }
 
+// nextRemoval returns the list without one member of a host that an operator removed. A list whose voters the leader
+// does not reach is never proposed: it would be in force at once and could not be committed.
+func (n *Node) nextRemoval(now time.Duration) (raft.Members, bool) {
+	removed := n.state.Model().RemovedReplicas
+	for _, m := range n.raft.Members().All() {
+		if !removed[m.Host] {
+			continue
+		}
+		next, ok := n.raft.Members().Without(m.Host)
+		live := 0
+		for _, v := range next.Voters {
+			if n.raft.IsLive(now, v.ID) {
+				live++
+			}
+		}
+		if ok && live > len(next.Voters)/2 {
+			return next, true
+		}
+	}
+	return raft.Members{}, false
+}
+
+func (n *Node) mayPromote(id string) bool {
+	m, _ := n.raft.Members().ByID(id)
+	return !n.state.Model().RemovedReplicas[m.Host] && n.raft.HasSynced(id)
+}
+
+// group returns the leader's view of the group: all members, and the hosts of the settings without one. It returns nil
+// on other replicas.
+func (n *Node) group(now time.Duration) []model.Member {
+	if !n.raft.Ready() {
+		return nil
+	}
+	ms := n.raft.Members()
+	var out []model.Member
+	for _, m := range ms.All() {
+		x := model.Member{
+			Host: m.Host, ID: m.ID, Role: model.RoleLearner, Live: n.raft.IsLive(now, m.ID), Leader: m.ID == n.cfg.Self.ID,
+			Synced: n.raft.MatchOf(m.ID),
+		}
+		if ms.IsVoter(m.ID) {
+			x.Role = model.RoleVoter
+		}
+		out = append(out, x)
+	}
+	for _, r := range n.cfg.Replicas {
+		if !slices.ContainsFunc(out, func(m model.Member) bool { return m.Host == r.Host }) {
+			out = append(out, model.Member{Host: r.Host, Role: model.RoleNone})
+		}
+	}
+	return out
+}
+
 func ids(ms []raft.Member) []string {
 	out := make([]string, len(ms))
 	for i, m := range ms {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -76,6 +76,8 @@
 	Commit  uint64       `json:"commit"`
 	Last    uint64       `json:"last"`
 	Members raft.Members `json:"members"`
+	// Group is the leader's view of the members with their progress; nil on other replicas.
+	Group []model.Member `json:"group,omitempty"`
 }
 
 // Node is one replica. It is safe for concurrent use.
@@ -308,6 +310,7 @@
 	n.status.Store(&Status{
 		ID: n.cfg.Self.ID, Host: n.cfg.Self.Host, Role: n.raft.Role(), Term: n.raft.Term(), Leader: leader,
 		Commit: n.raft.Commit(), Last: n.raft.LastIndex(), Members: n.raft.Members(),
+		Group: n.group(n.cfg.Clock()),
 	})
 	if old == nil || old.Version != n.state.Model().Version {
 		n.wakeWatchers()
--- a/internal/opapi/fleet.go
+++ b/internal/opapi/fleet.go
@@ -23,6 +23,8 @@
 	StoppedDCs   []string           `json:"stopped_dcs"`
 	Limits       []model.Limit      `json:"limits"`
 	Daemons      []owner.HostStatus `json:"daemons"`
+	// Members holds the voters and learners with their progress, and the hosts of the settings without a replica.
+	Members []MemberStatus `json:"members"`
 }
 
 // maxMovesShown bounds the answer while a whole service is without owners.
@@ -59,6 +61,15 @@
 	Ranges    int  `json:"ranges"`
 }
 
+// MemberStatus is one replica as the leader sees it.
+type MemberStatus struct {
+	model.Member
+	// Behind is the number of log entries that the leader doesn't know to be on the replica's disk.
+	Behind uint64 `json:"behind"`
+	// Removed is set by operators. The replica is still leaving unless its role is none.
+	Removed bool `json:"removed"`
+}
+
 // ReplicaStatus is one replica as it answers itself.
 type ReplicaStatus struct {
 	Host    string `json:"host"`
@@ -79,7 +90,14 @@
 	f := Fleet{
 		Leader: st.Host, Term: st.Term, Revision: s.Revision, Version: s.Version, Daemons: o.Hosts,
 		StoppedDCs: keys(s.StoppedDCs), Moves: []model.Assignment{}, Services: []ServiceStatus{},
-		Upstreams: []UpstreamStatus{}, Limits: []model.Limit{},
+		Upstreams: []UpstreamStatus{}, Limits: []model.Limit{}, Members: []MemberStatus{},
+	}
+	for _, m := range st.Group {
+		x := MemberStatus{Member: m, Removed: s.RemovedReplicas[m.Host]}
+		if m.Role != model.RoleNone {
+			x.Behind = st.Last - min(st.Last, m.Synced)
+		}
+		f.Members = append(f.Members, x)
 	}
 	ranges := map[string]int{}
 	for _, a := range s.Ranges {
--- a/internal/opapi/queries.go
+++ b/internal/opapi/queries.go
@@ -1,7 +1,9 @@
 package opapi
 
 import (
+	"fmt"
 	"net/http"
+	"slices"
 
 	"baobabreach/internal/audit"
 	"baobabreach/internal/model"
@@ -75,25 +77,29 @@
 
 // judge fills in what is cut off and what an operator should know.
 func (s *Status) judge() {
-	reachable := 0
+	voters, reachable := len(s.Replicas), 0
 	for _, r := range s.Replicas {
-		if r.Error != "" {
+		if r.Error == "" {
+			reachable++
+		} else if !s.isRemoved(r.Host) {
 			s.CutOff = append(s.CutOff, "replica "+r.Host)
-			continue
 		}
-		reachable++
 	}
-	majority := len(s.Replicas)/2 + 1
+	if s.Fleet != nil {
+		voters, reachable = s.Fleet.voters()
+	}
+	majority := voters/2 + 1
 	switch {
 	case reachable < majority:
 		s.Warnings = append(s.Warnings, "no majority of the replicas can be reached from "+s.Host+": no change is accepted")
-	case reachable == majority && len(s.Replicas) > 1:
+	case reachable == majority && voters > 1:
 		s.Warnings = append(s.Warnings, "the loss of one more replica stops all changes")
 	}
 	if s.Fleet == nil {
 		s.Warnings = append(s.Warnings, "no leader answered: the fleet is not shown")
 		return
 	}
+	s.Warnings = append(s.Warnings, s.Fleet.learners()...)
 	for _, d := range s.Fleet.Daemons {
 		if !d.Leased {
 			s.CutOff = append(s.CutOff, "daemon "+d.Host)
@@ -111,6 +117,36 @@
 	}
 }
 
+func (s *Status) isRemoved(host string) bool {
+	return s.Fleet != nil && slices.ContainsFunc(s.Fleet.Members, func(m MemberStatus) bool {
+		return m.Host == host && m.Removed && m.Role == model.RoleNone
+	})
+}
+
+func (f *Fleet) learners() []string {
+	var out []string
+	for _, m := range f.Members {
+		if m.Role == model.RoleLearner {
+			out = append(out, fmt.Sprintf("the replica of %s is a learner, %d entries behind", m.Host, m.Behind))
+		}
+	}
+	return out
+}
+
+// voters counts the voters and those that the leader reaches.
+func (f *Fleet) voters() (all, live int) {
+	for _, m := range f.Members {
+		if m.Role != model.RoleVoter {
+			continue
+		}
+		all++
+		if m.Live {
+			live++
+		}
+	}
+	return all, live
+}
+
 func (s *Server) explain(r *http.Request) (Explanation, error) {
 	q, err := parseExplain(r)
 	if err != nil {
--- a/internal/raft/members.go
+++ b/internal/raft/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/go-faster/errors"
 )
@@ -79,6 +80,15 @@
 	return m.Ready() && known && m.MatchOf(id) >= m.commit
 }
 
+// IsLive tells whether the member answered within the minimum election timeout; on the leader only.
+func (m *Machine) IsLive(now time.Duration, id string) bool {
+	if m.role != RoleLeader {
+		return false
+	}
+	p := m.peers[id]
+	return id == m.cfg.ID || (p != nil && p.ackedAt > 0 && now-p.ackedAt < m.cfg.ElectionMin)
+}
+
 func voterDistance(a, b Members) int {
 	n := 0
 	for _, v := range a.Voters {
@@ -104,6 +114,20 @@
 	return Members{Voters: slices.Clone(m.Voters), Learners: append(ls, j)}, true
 }
 
+// Without returns the list without one member of the host, learners first so that none is promoted, or false if there
+// is no such member or no voter would be left.
+func (m Members) Without(host string) (Members, bool) {
+	of := func(x Member) bool { return x.Host == host }
+	if slices.ContainsFunc(m.Learners, of) {
+		return Members{Voters: m.Voters, Learners: slices.DeleteFunc(slices.Clone(m.Learners), of)}, true
+	}
+	i := slices.IndexFunc(m.Voters, of)
+	if i < 0 || len(m.Voters) == 1 {
+		return m, false
+	}
+	return Members{Voters: slices.Delete(slices.Clone(m.Voters), i, i+1), Learners: m.Learners}, true
+}
+
 // NextRepair returns the list after the next single change that a repair needs, or false if none is due. A voter
 // that shares its host with a later voter has lost its disk and is removed before anything else is changed.
 // Otherwise a learner for which synced returns true is promoted.
--- a/internal/state/intent.go
+++ b/internal/state/intent.go
@@ -1,6 +1,9 @@
 package state
 
-import "baobabreach/internal/intent"
+import (
+	"baobabreach/internal/intent"
+	"baobabreach/internal/model"
+)
 
 // PlanIntent stores the plan of an intent.
 type PlanIntent struct {
@@ -8,22 +11,30 @@
 	Facts  intent.Facts  `json:"facts"`
 	// NowMs is the proposer's wall clock in milliseconds since the Unix epoch.
 	NowMs int64 `json:"now_ms"`
+	// Members is the leader's view of the group. It is part of the command, because replicas that replay the log can't
+	// know it.
+	Members []model.Member `json:"members,omitempty"`
 }
 
 // ConfirmIntent executes a stored plan.
 type ConfirmIntent struct {
 	ID       string `json:"id"`
 	Operator string `json:"operator"`
+	// Members is as in PlanIntent.
+	Members []model.Member `json:"members,omitempty"`
 }
 
 func (m *Machine) planIntent(c PlanIntent) Result {
-	r := m.intents.Plan(c.Intent, m.model, c.Facts, c.NowMs)
+	r := m.intents.Plan(c.Intent, m.model.WithMembers(c.Members), c.Facts, c.NowMs)
 	return Result{Applied: r.Refusal == nil, Intent: &r}
 }
 
 func (m *Machine) confirmIntent(c ConfirmIntent, index uint64) Result {
-	r, next := m.intents.Confirm(c.ID, c.Operator, m.model, index)
-	m.model = next
+	before := m.model.WithMembers(c.Members)
+	r, next := m.intents.Confirm(c.ID, c.Operator, before, index)
+	if next != before {
+		m.model = next.WithMembers(nil)
+	}
 	return Result{Applied: r.Confirmation != nil, Intent: &r}
 }
 
