Load the limits of the settings into a new group

The limits of [tenant.*] were read and checked but never used: only the initial services were proposed. Both now go into one log entry of the first leader, and only while the replicated state holds neither services, limits nor a revision, so a limit that an operator removed does not come back.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -263,7 +263,8 @@
 			Self: self, Store: st, Loaded: loaded, Members: ms, Replicas: cfg.Replicas, Random: rand.Int64N, Clock: now,
 			WallMs: func() int64 { return time.Now().UnixMilli() },
 			Send:   newSender(ctx, c.control, t.control).send, Log: log,
-			Planner: owner.Config{MaxMoves: cfg.MaxMoves}, InitialSet: cfg.Services, Audit: ring,
+			Planner: owner.Config{MaxMoves: cfg.MaxMoves}, InitialSet: cfg.Services, InitialLimits: cfg.Limits,
+			Audit: ring,
 		})
 		if err != nil {
 			return errors.Wrap(err, "start replica")
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"baobabreach/internal/errs"
+	"baobabreach/internal/model"
 
 	"github.com/go-faster/errors"
 )
@@ -46,6 +47,8 @@
 	// HostsPerCentre is the number of daemons in each data centre; at least 1.
 	HostsPerCentre int
 	Services       []Service
+	// Limits are the limits of tenants in the settings.
+	Limits []model.Limit
 	// Policy is the admission policy of the settings; empty means the default of the daemon.
 	Policy string
 	// BalancerDelay is the time between turning readiness off and refusing requests at a stop.
@@ -54,10 +57,11 @@
 
 // Host is a daemon of the fleet.
 type Host struct {
-	Name    string
-	Centre  string
-	Caller  string
-	Control string
+	Name     string
+	Centre   string
+	Caller   string
+	Control  string
+	Operator string
 }
 
 // Upstream is a stand-in of the fleet.
@@ -135,6 +139,7 @@
 		for i := range f.cfg.HostsPerCentre {
 			f.Hosts = append(f.Hosts, Host{
 				Name: fmt.Sprintf("%s%d", c, i+1), Centre: c, Caller: f.ports.next(), Control: f.ports.next(),
+				Operator: f.ports.next(),
 			})
 		}
 	}
@@ -252,9 +257,10 @@
 // Ports of a fleet. A block is claimed by listening on its first port for the life of the fleet, so that fleets of
 // several processes on one machine never share a block. The range lies below the kernel's ephemeral ports.
 const (
-	firstPort    = 20000
-	lastPort     = 24999
-	blockPorts   = 100
+	firstPort = 20000
+	lastPort  = 24999
+	// blockPorts fits 48 daemons with a few stand-ins.
+	blockPorts   = 200
 	portsPerHost = 3
 )
 
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -17,6 +17,8 @@
 
 func (f *Fleet) recordFile(upstream string) string { return filepath.Join(f.folder, upstream+".runs") }
 
+func (f *Fleet) dataFolder(host string) string { return filepath.Join(f.folder, "data-"+host) }
+
 func (f *Fleet) writeSettings(i int) error {
 	h := f.Hosts[i]
 	file := ini.Empty()
@@ -27,19 +29,22 @@
 	}
 	set("daemon", "host", h.Name, "data_centre", h.Centre)
 	if i%f.cfg.HostsPerCentre == 0 {
-		data := filepath.Join(f.folder, "data-"+h.Name)
+		data := f.dataFolder(h.Name)
 		if err := os.Mkdir(data, 0o700); err != nil {
 			return errors.Wrap(err, "make data folder")
 		}
 		set("daemon", "data_dir", data)
 	}
-	set("listen", "caller", h.Caller, "control", h.Control, "operator", f.ports.next())
+	set("listen", "caller", h.Caller, "control", h.Control, "operator", h.Operator)
 	set("cluster", "replicas", f.replicas())
 	set("log", "level", "info")
 	if f.cfg.Policy != "" {
 		set("admission", "policy", f.cfg.Policy)
 	}
 	set("stop", "balancer_delay", f.cfg.BalancerDelay.String())
+	for _, l := range f.cfg.Limits {
+		set("tenant."+l.Tenant, string(l.Class)+"_per_second", fmt.Sprint(l.PerSecond))
+	}
 	for _, s := range f.cfg.Services {
 		section := "service." + s.Name
 		set(section, "keyed", fmt.Sprint(s.Keyed), "idempotent", fmt.Sprint(s.Idempotent), "class", s.Class)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -50,6 +50,8 @@
 	Log        *slog.Logger
 	Planner    owner.Config
 	InitialSet []model.Service
+	// InitialLimits are the limits of the settings; used, as InitialSet, only until the state holds settings.
+	InitialLimits []model.Limit
 	// Audit keeps the planner's decisions; nil keeps none.
 	Audit *audit.Ring
 }
@@ -349,7 +351,7 @@
 		return
 	}
 	n.lastPlan = now
-	cs := n.initialServices()
+	cs := n.initialSettings()
 	if len(cs) == 0 {
 		n.ownerMu.Lock()
 		if n.planner != nil {
@@ -370,14 +372,19 @@
 	n.propose(p)
 }
 
-func (n *Node) initialServices() []state.Command {
-	if n.state.Model().Revision > 0 || len(n.state.Model().Services) > 0 {
+// initialSettings returns the services and limits of the settings as one batch, so that both are committed or none.
+func (n *Node) initialSettings() []state.Command {
+	s := n.state.Model()
+	if s.Revision > 0 || len(s.Services) > 0 || len(s.Limits) > 0 {
 		return nil
 	}
 	var cs []state.Command
 	for _, v := range n.cfg.InitialSet {
 		cs = append(cs, state.Command{Service: &v})
 	}
+	for _, l := range n.cfg.InitialLimits {
+		cs = append(cs, state.Command{Limit: &l})
+	}
 	return cs
 }
 
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -20,6 +20,7 @@
 	Assign   *Assign         `json:"assign,omitempty"`
 	Release  *Release        `json:"release,omitempty"`
 	Service  *model.Service  `json:"service,omitempty"`
+	Limit    *model.Limit    `json:"limit,omitempty"`
 	Claim    *Claim          `json:"claim,omitempty"`
 	Abandon  *Abandon        `json:"abandon,omitempty"`
 	Outcome  *Outcome        `json:"outcome,omitempty"`
@@ -164,6 +165,8 @@
 		return m.release(*c.Release)
 	case c.Service != nil:
 		return m.change(m.model.WithService(*c.Service))
+	case c.Limit != nil:
+		return m.change(m.model.WithLimit(*c.Limit))
 	case c.Plan != nil:
 		return m.planIntent(*c.Plan)
 	case c.Confirm != nil:
