Raft tests: correct what the linter finds

make lint failed on a long line and on a conversion in the tests of the replicated log. The sum over applied entries now separates its fields.

--- a/internal/raft/hunt_test.go
+++ b/internal/raft/hunt_test.go
@@ -15,7 +15,14 @@
 	for _, c := range []struct {
 		n string
 		d defences
-	}{{"sticky", defences{noSticky: true}}, {"lease", defences{longLease: true}}, {"anyterm", defences{anyTerm: true}}, {"sync", defences{noSync: true}}, {"identity", defences{sameIdentity: true}}, {"none", defences{}}} {
+	}{
+		{"sticky", defences{noSticky: true}},
+		{"lease", defences{longLease: true}},
+		{"anyterm", defences{anyTerm: true}},
+		{"sync", defences{noSync: true}},
+		{"identity", defences{sameIdentity: true}},
+		{"none", defences{}},
+	} {
 		var next, fails atomic.Int64
 		var g sync.WaitGroup
 		for range 8 {
--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -353,7 +353,7 @@
 	h.applied = e.Index
 	if e.Index > uint64(len(w.entries)) {
 		f := fnv.New64a()
-		_, _ = fmt.Fprint(f, w.sums[len(w.sums)-1], e.Term, e.Data)
+		_, _ = fmt.Fprintf(f, "%d %d %x", w.sums[len(w.sums)-1], e.Term, e.Data)
 		w.entries, w.sums = append(w.entries, e), append(w.sums, f.Sum64())
 	}
 	if x := w.entries[e.Index-1]; x.Term != e.Term || !bytes.Equal(x.Data, e.Data) {
