Add scenarios of operators, replicas and restarts

New steps run the command line of the built program against any daemon of a fleet of real processes.

A running daemon may be a few milliseconds behind, so "expect newest" is only for one that was started after the last change; "expect current" waits for the revision and fails if it goes back.

--- /dev/null
+++ b/internal/scene/operate_test.go
@@ -0,0 +1,315 @@
+package scene_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"os/exec"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+
+	"baobabreach/internal/fleet"
+	"baobabreach/internal/intent"
+	"baobabreach/internal/model"
+	"baobabreach/internal/opapi"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// cli runs the command line against a host and returns its output and exit status. It is repeated while no leader answers.
+func (s *scene) cli(ctx context.Context, host string, args ...string) (text string, status int, err error) {
+	h, err := s.fleet.Host(host)
+	if err != nil {
+		return "", 0, err
+	}
+	err = fleet.Wait(ctx, func(ctx context.Context) error {
+		var out bytes.Buffer
+		c := exec.CommandContext(ctx, "../../bin/baobabreach", append(args, "--operator", h.Operator)...)
+		c.Stdout, c.Stderr = &out, &out
+		err := c.Run()
+		var exit *exec.ExitError
+		if err != nil && !errors.As(err, &exit) {
+			return err
+		}
+		text, status = out.String(), c.ProcessState.ExitCode()
+		if strings.Contains(text, "no_leader") {
+			return errors.New(text)
+		}
+		return nil
+	})
+	return text, status, err
+}
+
+func matches(text, pattern string) error {
+	ok, err := regexp.MatchString(pattern, text)
+	if err == nil && !ok {
+		err = fmt.Errorf("%q is not in the output:\n%s", pattern, text)
+	}
+	return err
+}
+
+// plan: plan NAME HOST OPERATOR PATTERN CHANGE... plans a change; its output must match the pattern. "leader" at the end
+// of the change is the host whose replica leads; it is "lost" from then on.
+func (s *scene) plan(ctx context.Context, _ *testscript.TestScript, args []string) error {
+	s.intents[args[0]] = fleet.NewIntentID()
+	a := append([]string{"plan"}, args[4:]...)
+	if last := len(a) - 1; a[last] == "leader" {
+		n, err := s.name(ctx, a[last])
+		if err != nil {
+			return err
+		}
+		a[last], s.lostName = n, n
+	}
+	text, _, err := s.cli(ctx, args[1], append(a, "--as", args[2], "--id", s.intents[args[0]])...)
+	if err != nil {
+		return err
+	}
+	return matches(text, args[3])
+}
+
+// confirm: confirm NAME HOST OPERATOR. Every confirmation of one plan must give the same answer.
+func (s *scene) confirm(ctx context.Context, _ *testscript.TestScript, args []string) error {
+	text, status, err := s.cli(ctx, args[1], "confirm", s.intents[args[0]], "--as", args[2], "--json")
+	if err != nil {
+		return err
+	}
+	if status != 0 {
+		return fmt.Errorf("exit status %d: %s", status, text)
+	}
+	if first, ok := s.first[args[0]]; ok && first != text {
+		return fmt.Errorf("the first answer was\n%s\nthis one is\n%s", first, text)
+	}
+	s.first[args[0]] = text
+	return s.follow(ctx, args[1])
+}
+
+// follow notes the newest revision. It only grows, so a status that lags does no harm.
+func (s *scene) follow(ctx context.Context, host string) error {
+	st, err := s.fleet.Status(ctx, host)
+	if err == nil && st.Fleet != nil {
+		s.revision = max(s.revision, st.Fleet.Revision)
+	}
+	return err
+}
+
+// race: race NAME HOST OPERATOR NAME HOST OPERATOR confirms two plans at once. Exactly one must win, and the other
+// answer must name the winner.
+func (s *scene) race(ctx context.Context, _ *testscript.TestScript, args []string) error {
+	type answer struct {
+		text   string
+		status int
+		err    error
+	}
+	var as [2]answer
+	done := make(chan struct{})
+	for i := range as {
+		go func() {
+			a := &as[i]
+			a.text, a.status, a.err = s.cli(ctx, args[3*i+1], "confirm", s.intents[args[3*i]], "--as", args[3*i+2])
+			done <- struct{}{}
+		}()
+	}
+	<-done
+	<-done
+	if err := errors.Join(as[0].err, as[1].err); err != nil {
+		return err
+	}
+	w := slices.IndexFunc(as[:], func(a answer) bool { return a.status == 0 })
+	if w < 0 || as[1-w].status != 3 {
+		return fmt.Errorf("expected one winner and one conflict, got %+v", as)
+	}
+	return matches(as[1-w].text, "conflict.*"+s.intents[args[3*w]]+" of "+args[3*w+2])
+}
+
+// loseAnswer: lose-answer NAME HOST OPERATOR confirms through a host that is killed as soon as another host has the
+// change; whatever it answered is dropped.
+func (s *scene) loseAnswer(ctx context.Context, _ *testscript.TestScript, args []string) error {
+	before, err := s.fleet.Local(ctx, args[1])
+	if err != nil {
+		return err
+	}
+	h, err := s.fleet.Host(args[1])
+	if err != nil {
+		return err
+	}
+	c := exec.Command("../../bin/baobabreach", "confirm", s.intents[args[0]], "--as", args[2], "--operator", h.Operator)
+	if err := c.Start(); err != nil {
+		return err
+	}
+	err = fleet.Wait(ctx, func(ctx context.Context) error {
+		l, err := s.fleet.Local(ctx, s.fleet.Hosts[0].Name)
+		if err == nil && l.Revision <= before.Revision {
+			err = fmt.Errorf("revision %d was not confirmed yet", l.Revision+1)
+		}
+		return err
+	})
+	s.lostName = args[1]
+	err = errors.Join(err, s.fleet.Kill(args[1]))
+	_ = c.Wait()
+	return err
+}
+
+// changes: changes N HOST confirms N changes of a limit.
+func (s *scene) changes(ctx context.Context, _ *testscript.TestScript, args []string) error {
+	n, err := strconv.Atoi(args[0])
+	if err != nil {
+		return err
+	}
+	host, err := s.name(ctx, args[1])
+	if err != nil {
+		return err
+	}
+	for i := range n {
+		in := intent.Intent{Limit: &intent.Limit{Tenant: "tenant", Class: model.ClassLong, PerSecond: float64(i + 1)}}
+		if err := fleet.Wait(ctx, func(ctx context.Context) error {
+			r, err := s.fleet.Change(ctx, host, in)
+			s.revision = max(s.revision, r)
+			return err
+		}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// operator: operator HOST PATTERN ARGUMENT... runs the command line until its output matches the pattern.
+func (s *scene) operator(ctx context.Context, _ *testscript.TestScript, args []string) error {
+	return fleet.Wait(ctx, func(ctx context.Context) error {
+		text, _, err := s.cli(ctx, args[0], args[2:]...)
+		if err != nil {
+			return err
+		}
+		return matches(text, args[1])
+	})
+}
+
+func (s *scene) expectOperated(ctx context.Context, args []string) error {
+	switch args[0] {
+	case "newest":
+		return s.expectNewest(ctx, args[1])
+	case "current":
+		return s.expectCurrent(ctx, args[1])
+	case "idle", "busy":
+		for _, u := range args[1:] {
+			if err := s.expectWork(ctx, u, args[0] == "busy"); err != nil {
+				return err
+			}
+		}
+		return nil
+	case "role":
+		host, err := s.name(ctx, args[1])
+		if err != nil {
+			return err
+		}
+		args[1] = host
+		return s.expectRole(ctx, args[1], model.MemberRole(args[2]))
+	}
+	return fmt.Errorf("unknown expectation %q", args[0])
+}
+
+// expectNewest waits until a host is ready that was started after the newest change. It may never be ready with an
+// earlier revision.
+func (s *scene) expectNewest(ctx context.Context, host string) error {
+	// A start takes less than the interval of fleet.Wait, so every look must follow the last one at once.
+	for {
+		err := s.fleet.Ready(ctx, host)
+		if err == nil {
+			// Revisions only grow, so the host was ready with this one or an earlier one.
+			l, err := s.fleet.Local(ctx, host)
+			if err == nil && l.Revision < s.revision {
+				err = fmt.Errorf("%s serves revision %d, the newest is %d", host, l.Revision, s.revision)
+			}
+			s.seen[host] = l.Revision
+			return err
+		}
+		if ctx.Err() != nil {
+			return err
+		}
+	}
+}
+
+// expectCurrent waits until a running host has the newest revision. It may never go back to an earlier one.
+func (s *scene) expectCurrent(ctx context.Context, host string) error {
+	var back error
+	err := fleet.Wait(ctx, func(ctx context.Context) error {
+		l, err := s.fleet.Local(ctx, host)
+		if err != nil {
+			return err
+		}
+		if l.Revision < s.seen[host] {
+			back = fmt.Errorf("%s went back from revision %d to %d", host, s.seen[host], l.Revision)
+			return nil
+		}
+		s.seen[host] = l.Revision
+		if l.Revision < s.revision {
+			return fmt.Errorf("%s has revision %d, the newest is %d", host, l.Revision, s.revision)
+		}
+		return nil
+	})
+	return errors.Join(err, back)
+}
+
+// expectWork waits until an upstream gets work, or none while the load goes on.
+func (s *scene) expectWork(ctx context.Context, upstream string, busy bool) error {
+	return fleet.Wait(ctx, func(ctx context.Context) error {
+		before, err := s.executions(upstream)
+		if err != nil {
+			return err
+		}
+		s.mu.Lock()
+		sent, orders := s.sent, s.sentOrders
+		s.mu.Unlock()
+		if err := fleet.Wait(ctx, func(context.Context) error {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			// Orders take a second each, and every second host sends them.
+			if s.sent < sent+20*len(s.fleet.Hosts) || s.sentOrders < orders+len(s.fleet.Hosts) {
+				return errors.New("too few requests were answered")
+			}
+			return nil
+		}); err != nil {
+			return err
+		}
+		after, err := s.executions(upstream)
+		if err == nil && (after > before) != busy {
+			err = fmt.Errorf("%s ran %d requests, %d a moment before", upstream, after, before)
+		}
+		return err
+	})
+}
+
+func (s *scene) executions(upstream string) (n int, err error) {
+	xs, err := s.fleet.Executions()
+	for _, x := range xs {
+		if x.Upstream == upstream {
+			n++
+		}
+	}
+	return n, err
+}
+
+// expectRole waits until the replica of a host is alone on its host and has the role.
+func (s *scene) expectRole(ctx context.Context, host string, role model.MemberRole) error {
+	return fleet.Wait(ctx, func(ctx context.Context) error {
+		st, err := s.fleet.Status(ctx, s.fleet.Hosts[1].Name)
+		if err != nil {
+			return err
+		}
+		if st.Fleet == nil {
+			return errors.New(st.LeaderError)
+		}
+		var of []opapi.MemberStatus
+		for _, m := range st.Fleet.Members {
+			if m.Host == host {
+				of = append(of, m)
+			}
+		}
+		if len(of) != 1 || of[0].Role != role {
+			return fmt.Errorf("members on %s: %+v, expected one %s", host, of, role)
+		}
+		return nil
+	})
+}
