--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -50,6 +50,8 @@
 	Log        *slog.Logger
 	Planner    owner.Config
 	InitialSet []model.Service
+	// InitialLimits are the limits of the settings; used, as InitialSet, only until the state holds settings.
+	InitialLimits []model.Limit
 	// Audit keeps the planner's decisions; nil keeps none.
 	Audit *audit.Ring
 }
@@ -76,6 +78,8 @@
 	Commit  uint64       `json:"commit"`
 	Last    uint64       `json:"last"`
 	Members raft.Members `json:"members"`
+	// Group is the leader's view of the members with their progress; nil on other replicas.
+	Group []model.Member `json:"group,omitempty"`
 }
 
 // Node is one replica. It is safe for concurrent use.
@@ -308,6 +312,7 @@
 	n.status.Store(&Status{
 		ID: n.cfg.Self.ID, Host: n.cfg.Self.Host, Role: n.raft.Role(), Term: n.raft.Term(), Leader: leader,
 		Commit: n.raft.Commit(), Last: n.raft.LastIndex(), Members: n.raft.Members(),
+		Group: n.group(n.cfg.Clock()),
 	})
 	if old == nil || old.Version != n.state.Model().Version {
 		n.wakeWatchers()
@@ -346,7 +351,7 @@
 		return
 	}
 	n.lastPlan = now
-	cs := n.initialServices()
+	cs := n.initialSettings()
 	if len(cs) == 0 {
 		n.ownerMu.Lock()
 		if n.planner != nil {
@@ -367,14 +372,19 @@
 	n.propose(p)
 }
 
-func (n *Node) initialServices() []state.Command {
-	if n.state.Model().Revision > 0 || len(n.state.Model().Services) > 0 {
+// initialSettings returns the services and limits of the settings as one batch, so that both are committed or none.
+func (n *Node) initialSettings() []state.Command {
+	s := n.state.Model()
+	if s.Revision > 0 || len(s.Services) > 0 || len(s.Limits) > 0 {
 		return nil
 	}
 	var cs []state.Command
 	for _, v := range n.cfg.InitialSet {
 		cs = append(cs, state.Command{Service: &v})
 	}
+	for _, l := range n.cfg.InitialLimits {
+		cs = append(cs, state.Command{Limit: &l})
+	}
 	return cs
 }
 
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -23,6 +23,7 @@
 	Merge    *Merge          `json:"merge,omitempty"`
 	Leave    *Leave          `json:"leave,omitempty"`
 	Service  *model.Service  `json:"service,omitempty"`
+	Limit    *model.Limit    `json:"limit,omitempty"`
 	Claim    *Claim          `json:"claim,omitempty"`
 	Abandon  *Abandon        `json:"abandon,omitempty"`
 	Outcome  *Outcome        `json:"outcome,omitempty"`
@@ -152,6 +153,8 @@
 		return m.applyRange(index, c)
 	case c.Service != nil:
 		return m.change(m.model.WithService(*c.Service))
+	case c.Limit != nil:
+		return m.change(m.model.WithLimit(*c.Limit))
 	case c.Plan != nil:
 		return m.planIntent(*c.Plan)
 	case c.Confirm != nil:
