Keep suspects over a change of leader and over quick restarts

- A stand-in that its supervisor restarts at once stays listed under its old incarnation until its grant has expired.
A crash during a run under a permit that was given after an earlier crash is now a crash of its own; the report names the holder of the permit, so a late report of the first crash is not taken for a second one.
- A new leader's empty list replaced what entry hosts watched and refused, and the repeated reports could not restore a quarantine, whose conviction needs the permit.
Hosts now keep their suspects until the new leader lists them, and recall crashes and quarantines.
A permit query carries the crashes that a leader without the recall lacks.
- A permit granted after its request had ended was never given back, so the content waited up to 30 s on that upstream.
- A permit held by a request that then found its content quarantined was kept.

Not changed: the permit of an entry host that is killed blocks its content on that upstream until PermitTime (30 s). Two broken connections of a live upstream still count as two crashes.

--- a/internal/entry/guard.go
+++ b/internal/entry/guard.go
@@ -87,11 +87,14 @@
 			g.mu.Unlock()
 			return a, nil
 		}
+		pq := a.query(holder)
+		pq.Crashes, pq.Version = g.guard.Crashes(q.Fingerprint), g.guard.Version()
 		g.mu.Unlock()
 		if v == poison.VerdictRefuse {
+			a.giveBack(false)
 			return a, quarantined(left)
 		}
-		ok, err := g.cfg.Permit(ctx, a.query(holder))
+		ok, err := a.ask(ctx, pq)
 		if err != nil {
 			return a, proto.NotRun(proto.CodeNoLeader, http.StatusServiceUnavailable, "the request can't be isolated: %v", err)
 		}
@@ -112,6 +115,41 @@
 		"this request crashed two upstreams and is refused").WithRetryAfterMs(left.Milliseconds())
 }
 
+// ask asks for a permit. A permit that is granted after ctx has ended is given back: nobody would use it, and the
+// content would wait for poison.PermitTime.
+func (a admission) ask(ctx context.Context, q poison.PermitQuery) (bool, error) {
+	type answer struct {
+		granted bool
+		err     error
+	}
+	got := make(chan answer, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
+		defer cancel()
+		granted, err := a.guard.cfg.Permit(ctx, q)
+		got <- answer{granted, err}
+	}()
+	select {
+	case r := <-got:
+		if r.err != nil {
+			go a.giveUp(q)
+		}
+		return r.granted, r.err
+	case <-ctx.Done():
+		go func() {
+			<-got
+			a.giveUp(q)
+		}()
+		return false, ctx.Err()
+	}
+}
+
+// giveUp gives back a permit that may have been granted.
+func (a admission) giveUp(q poison.PermitQuery) {
+	q.Release, q.Crashes = true, nil
+	a.release(q)
+}
+
 func (a admission) query(holder string) poison.PermitQuery {
 	return poison.PermitQuery{Upstream: a.process.Name, Fingerprint: a.fingerprint, Holder: holder}
 }
@@ -123,12 +161,21 @@
 		g.mu.Lock()
 		r := g.guard.Broken(g.cfg.Clock(), a.process, a.fingerprint)
 		g.mu.Unlock()
+		r.Holder = a.holder
 		g.report(ctx, r)
 	} else {
 		g.mu.Lock()
 		g.guard.End(a.process, a.fingerprint)
+		if finishedWell && a.holder != "" {
+			g.guard.Cleared(a.fingerprint)
+		}
 		g.mu.Unlock()
 	}
+	a.giveBack(finishedWell)
+}
+
+// giveBack returns the permit, if the request has one.
+func (a admission) giveBack(finishedWell bool) {
 	if a.holder == "" {
 		return
 	}
--- a/internal/node/suspects.go
+++ b/internal/node/suspects.go
@@ -97,6 +97,7 @@
 	now := n.cfg.Clock()
 	b := n.suspects.board
 	if !q.Release {
+		n.recall(now, q)
 		return poison.PermitAnswer{Granted: b.Permit(now, q.Upstream, q.Fingerprint, q.Holder)}, nil
 	}
 	b.Release(q.Upstream, q.Holder)
@@ -107,6 +108,18 @@
 	return poison.PermitAnswer{}, nil
 }
 
+// recall takes over what a host learned from an earlier leader. The host's knowledge is not used once it has a list of
+// this leader: the content may have been cleared since. The caller holds ownerMu.
+func (n *Node) recall(now time.Duration, q poison.PermitQuery) {
+	b := n.suspects.board
+	if q.Version>>termShift == b.Version(now)>>termShift {
+		return
+	}
+	for _, p := range q.Crashes {
+		b.Report(now, poison.Report{Process: p, Fingerprints: []string{q.Fingerprint}, Recalled: true})
+	}
+}
+
 // mustLead returns an error unless this replica is the leader inside its lease. The caller holds ownerMu.
 func (n *Node) mustLead() error {
 	if n.planner == nil || !n.leads(n.cfg.Clock()) {
--- a/internal/poison/board.go
+++ b/internal/poison/board.go
@@ -3,6 +3,9 @@
 package poison
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"sort"
 	"time"
 )
@@ -26,10 +29,21 @@
 	Incarnation uint64 `json:"incarnation"`
 }
 
+func (p Process) compare(q Process) int {
+	return cmp.Or(cmp.Compare(p.Name, q.Name), cmp.Compare(p.Incarnation, q.Incarnation))
+}
+
 // Report tells that connections to an upstream broke while the fingerprints were in flight on it.
 type Report struct {
 	Process      Process  `json:"process"`
 	Fingerprints []string `json:"fingerprints"`
+	// Holder is the holder of the permit under which the first fingerprint ran; empty if it had none.
+	Holder string `json:"holder,omitempty"`
+	// Recalled is true if an earlier leader knew of the crash. It convicts nobody, because the permit that an upstream
+	// holds now says nothing about an earlier crash.
+	Recalled bool `json:"recalled,omitempty"`
+	// Quarantined holds what an earlier leader refused.
+	Quarantined []Quarantine `json:"quarantined,omitempty"`
 }
 
 // Quarantine is refused content.
@@ -45,10 +59,12 @@
 	Version     uint64       `json:"version"`
 	Watched     []string     `json:"watched"`
 	Quarantined []Quarantine `json:"quarantined"`
+	// Crashes holds the crashed processes of each watched fingerprint, sorted, for the next leader.
+	Crashes map[string][]Process `json:"crashes,omitempty"`
 }
 
 type suspect struct {
-	// crashes holds the crashed processes that ran the content; not empty.
+	// crashes holds the crashed processes that ran the content; empty if an earlier leader refused it.
 	crashes map[Process]bool
 	until   time.Duration
 	// quarantined is true once the content is refused.
@@ -59,6 +75,8 @@
 	holder      string
 	fingerprint string
 	until       time.Duration
+	// again is true if the content had crashed an upstream before the permit was given.
+	again bool
 }
 
 // Board merges the reports of all entry hosts. It is not safe for concurrent use.
@@ -81,11 +99,19 @@
 func (b *Board) Report(now time.Duration, r Report) {
 	b.expire(now)
 	for _, f := range r.Fingerprints {
-		b.blame(now, f, r.Process)
+		b.blame(now, f, r)
+	}
+	for _, q := range r.Quarantined {
+		left := time.Duration(q.RemainingMs) * time.Millisecond
+		if s := b.suspect(now, q.Fingerprint); left > 0 && !s.quarantined {
+			s.quarantined, s.until = true, now+min(left, QuarantineTime)
+			b.version++
+		}
 	}
 }
 
-func (b *Board) blame(now time.Duration, fingerprint string, p Process) {
+// suspect returns the suspect of a fingerprint and watches it from now on.
+func (b *Board) suspect(now time.Duration, fingerprint string) *suspect {
 	s := b.suspects[fingerprint]
 	if s == nil {
 		b.makeRoom()
@@ -93,9 +119,21 @@
 		b.suspects[fingerprint] = s
 		b.version++
 	}
-	s.crashes[p] = true
-	alone := b.convictAnyone || b.permits[p.Name].fingerprint == fingerprint
-	if len(s.crashes) >= crashesToQuarantine && alone && !s.quarantined {
+	return s
+}
+
+func (b *Board) blame(now time.Duration, fingerprint string, r Report) {
+	s, p := b.suspect(now, fingerprint), r.Process
+	if !s.crashes[p] {
+		s.crashes[p] = true
+		b.version++
+	}
+	m := b.permits[p.Name]
+	alone := b.convictAnyone || (!r.Recalled && m.fingerprint == fingerprint)
+	// An upstream that was restarted at once is listed under its old incarnation until its grant has expired, so both
+	// crashes carry the same process. The permit tells them apart, because it was given after the first one.
+	again := m.again && m.holder == r.Holder
+	if (len(s.crashes) >= crashesToQuarantine || again) && alone && !s.quarantined {
 		s.quarantined, s.until = true, now+QuarantineTime
 		b.version++
 	}
@@ -116,7 +154,10 @@
 	if ok && now < p.until && p.holder != holder {
 		return false
 	}
-	b.permits[upstream] = permit{holder: holder, fingerprint: fingerprint, until: now + PermitTime}
+	s := b.suspects[fingerprint]
+	b.permits[upstream] = permit{
+		holder: holder, fingerprint: fingerprint, until: now + PermitTime, again: s != nil && len(s.crashes) > 0,
+	}
 	return true
 }
 
@@ -130,13 +171,14 @@
 // List returns the suspects at the time now, sorted.
 func (b *Board) List(now time.Duration) List {
 	b.expire(now)
-	l := List{Version: b.version, Watched: []string{}, Quarantined: []Quarantine{}}
+	l := List{Version: b.version, Watched: []string{}, Quarantined: []Quarantine{}, Crashes: map[string][]Process{}}
 	for f, s := range b.suspects {
 		if s.quarantined {
 			l.Quarantined = append(l.Quarantined, Quarantine{Fingerprint: f, RemainingMs: (s.until - now).Milliseconds()})
 			continue
 		}
 		l.Watched = append(l.Watched, f)
+		l.Crashes[f] = slices.SortedFunc(maps.Keys(s.crashes), Process.compare)
 	}
 	sort.Strings(l.Watched)
 	sort.Slice(l.Quarantined, func(i, j int) bool { return l.Quarantined[i].Fingerprint < l.Quarantined[j].Fingerprint })
@@ -179,6 +221,10 @@
 	Release     bool   `json:"release,omitempty"`
 	// FinishedWell clears the content; set together with Release only.
 	FinishedWell bool `json:"finished_well,omitempty"`
+	// Crashes holds the crashed processes that the host knows of by the list of Version. A new leader may not have been
+	// told of them yet.
+	Crashes []Process `json:"crashes,omitempty"`
+	Version uint64    `json:"version,omitempty"`
 }
 
 // PermitAnswer answers a PermitQuery.
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -1,13 +1,12 @@
 package poison
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 )
 
-// reportMemory is how long a host repeats its reports to new leaders, whose boards start empty.
-const reportMemory = WatchTime
-
 // Verdict tells what to do with a request.
 type Verdict string
 
@@ -20,24 +19,30 @@
 	VerdictRefuse Verdict = "refuse"
 )
 
-type sentReport struct {
-	report Report
-	at     time.Duration
+// crashSet holds the crashed processes known of one fingerprint.
+type crashSet struct {
+	processes map[Process]bool
+	until     time.Duration
 }
 
 // Guard tracks the requests in flight of one entry host. It is not safe for concurrent use.
 type Guard struct {
-	version     uint64
-	watched     map[string]bool
+	version uint64
+	// listed holds what the last list of the leader watches.
+	listed map[string][]Process
+	// unlisted holds what this host knows and the present leader has not listed yet.
+	unlisted    map[string]crashSet
 	quarantined map[string]time.Duration
 	// inFlight counts the requests per process and fingerprint.
 	inFlight map[Process]map[string]int
-	reports  []sentReport
 }
 
 // NewGuard returns a guard that knows of nothing.
 func NewGuard() *Guard {
-	return &Guard{watched: map[string]bool{}, quarantined: map[string]time.Duration{}, inFlight: map[Process]map[string]int{}}
+	return &Guard{
+		listed: map[string][]Process{}, unlisted: map[string]crashSet{}, quarantined: map[string]time.Duration{},
+		inFlight: map[Process]map[string]int{},
+	}
 }
 
 // Check returns the verdict on content, with the time left of a quarantine.
@@ -45,12 +50,26 @@
 	if until, ok := g.quarantined[fingerprint]; ok && now < until {
 		return VerdictRefuse, until - now
 	}
-	if g.watched[fingerprint] {
+	_, listed := g.listed[fingerprint]
+	if u, ok := g.unlisted[fingerprint]; listed || (ok && now < u.until) {
 		return VerdictIsolate, 0
 	}
 	return VerdictRun, 0
 }
 
+// Crashes returns the crashed processes that are known of watched content, sorted.
+func (g *Guard) Crashes(fingerprint string) []Process {
+	known := map[Process]bool{}
+	for _, p := range g.listed[fingerprint] {
+		known[p] = true
+	}
+	maps.Copy(known, g.unlisted[fingerprint].processes)
+	return slices.SortedFunc(maps.Keys(known), Process.compare)
+}
+
+// Cleared forgets what this host alone knows of content that finished well while it ran alone.
+func (g *Guard) Cleared(fingerprint string) { delete(g.unlisted, fingerprint) }
+
 // Begin counts a request that is about to be sent.
 func (g *Guard) Begin(p Process, fingerprint string) {
 	m := g.inFlight[p]
@@ -84,43 +103,92 @@
 	}
 	sort.Strings(r.Fingerprints[1:])
 	for _, f := range r.Fingerprints {
-		g.watched[f] = true
+		g.remember(now, f, p)
 	}
 	g.End(p, fingerprint)
-	g.reports = append(g.reports, sentReport{report: r, at: now})
 	return r
 }
 
+func (g *Guard) remember(now time.Duration, fingerprint string, p Process) {
+	u, ok := g.unlisted[fingerprint]
+	if !ok {
+		u.processes = map[Process]bool{}
+	}
+	u.until = now + WatchTime
+	u.processes[p] = true
+	g.unlisted[fingerprint] = u
+}
+
 // Version returns the version of the list in use.
 func (g *Guard) Version() uint64 { return g.version }
 
-// Update takes the board's list. A list of another leader than the last one is answered with the host's recent
-// reports, which the new board lacks.
+// Update takes the board's list. The board of a new leader starts empty, so the first list of one is answered with
+// what this host knows and the list lacks. Until the new leader lists it, it stays in force here.
 func (g *Guard) Update(now time.Duration, l List, newLeader bool) []Report {
+	if newLeader {
+		for f, ps := range g.listed {
+			for _, p := range ps {
+				g.remember(now, f, p)
+			}
+		}
+	}
 	g.version = l.Version
-	g.watched = map[string]bool{}
+	g.listed = map[string][]Process{}
 	for _, f := range l.Watched {
-		g.watched[f] = true
+		g.listed[f] = l.Crashes[f]
 	}
-	g.quarantined = map[string]time.Duration{}
+	known := map[string]bool{}
 	for _, q := range l.Quarantined {
 		g.quarantined[q.Fingerprint] = now + time.Duration(q.RemainingMs)*time.Millisecond
+		known[q.Fingerprint] = true
+		delete(g.unlisted, q.Fingerprint)
 	}
-	return g.recent(now, newLeader)
+	g.prune(now)
+	if !newLeader {
+		return nil
+	}
+	return g.recall(now, known)
 }
 
-func (g *Guard) recent(now time.Duration, newLeader bool) []Report {
-	keep := g.reports[:0]
-	var out []Report
-	for _, s := range g.reports {
-		if now-s.at < reportMemory {
-			keep = append(keep, s)
-			out = append(out, s.report)
+// prune forgets what has expired, and what the leader lists with every crash known here.
+func (g *Guard) prune(now time.Duration) {
+	maps.DeleteFunc(g.quarantined, func(_ string, until time.Duration) bool { return now >= until })
+	maps.DeleteFunc(g.unlisted, func(f string, u crashSet) bool {
+		if now >= u.until {
+			return true
+		}
+		for p := range u.processes {
+			if !slices.Contains(g.listed[f], p) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// recall returns what the present leader has not listed, one report per crashed process.
+func (g *Guard) recall(now time.Duration, known map[string]bool) []Report {
+	var refused Report
+	for _, f := range slices.Sorted(maps.Keys(g.quarantined)) {
+		if !known[f] {
+			refused.Quarantined = append(refused.Quarantined, Quarantine{
+				Fingerprint: f, RemainingMs: (g.quarantined[f] - now).Milliseconds(),
+			})
 		}
 	}
-	g.reports = keep
-	if !newLeader {
-		return nil
+	byProcess := map[Process][]string{}
+	for _, f := range slices.Sorted(maps.Keys(g.unlisted)) {
+		for p := range g.unlisted[f].processes {
+			byProcess[p] = append(byProcess[p], f)
+		}
+	}
+	var out []Report
+	if len(refused.Quarantined) > 0 {
+		refused.Recalled = true
+		out = append(out, refused)
+	}
+	for _, p := range slices.SortedFunc(maps.Keys(byProcess), Process.compare) {
+		out = append(out, Report{Process: p, Fingerprints: byProcess[p], Recalled: true})
 	}
 	return out
 }
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -230,3 +230,45 @@
 	is.Equal(len(g.Update(time.Second, old.List(time.Second), false)), 0)
 	is.Equal(len(g.Update(time.Second, poison.NewBoard(1<<32).List(time.Second), true)), 1)
 }
+
+// Guards against a new leader that forgets what its predecessor refused or watched, and against a host that lets it
+// run before the new leader lists it.
+func TestANewLeaderKeepsSuspects(t *testing.T) {
+	is := is.New(t)
+	g, old, next := poison.NewGuard(), poison.NewBoard(1<<32), poison.NewBoard(2<<32)
+	old.Permit(0, "u", poisonous, "host/1")
+	for i := range uint64(2) {
+		old.Report(0, poison.Report{Process: poison.Process{Name: "u", Incarnation: i}, Fingerprints: []string{poisonous}})
+	}
+	first := poison.Process{Name: "v", Incarnation: 7}
+	old.Report(0, poison.Report{Process: first, Fingerprints: []string{"page"}})
+	g.Update(0, old.List(0), true)
+	again := g.Update(time.Second, next.List(time.Second), true)
+	v, _ := g.Check(time.Second, poisonous)
+	is.Equal(v, poison.VerdictRefuse)
+	v, _ = g.Check(time.Second, "page")
+	is.Equal(v, poison.VerdictIsolate)
+	for _, r := range again {
+		next.Report(time.Second, r)
+	}
+	is.Equal(next.List(time.Second).Watched, []string{"page"})
+	is.Equal(next.List(time.Second).Quarantined, []poison.Quarantine{
+		{Fingerprint: poisonous, RemainingMs: (poison.QuarantineTime - time.Second).Milliseconds()},
+	})
+	is.Equal(next.List(time.Second).Crashes["page"], []poison.Process{first})
+}
+
+// Guards against the second crash of a quickly restarted upstream, which is still listed under its old incarnation,
+// being taken for the first one; and against a late report of the first crash being taken for a second one.
+func TestCrashUnderAPermitIsANewOne(t *testing.T) {
+	is := is.New(t)
+	b := poison.NewBoard(1)
+	r := poison.Report{Process: poison.Process{Name: "u", Incarnation: 7}, Fingerprints: []string{poisonous}}
+	b.Report(0, r)
+	is.True(b.Permit(0, "u", poisonous, "host/1"))
+	b.Report(0, r)
+	is.Equal(len(b.List(0).Quarantined), 0)
+	r.Holder = "host/1"
+	b.Report(0, r)
+	is.Equal(len(b.List(0).Quarantined), 1)
+}
