Answer with the outcome of all tries, and after it is recorded

The outcome of an order was recorded after its answer to the caller. A host lost right after the answer left the claim without outcome, and a resend got unknown: leader_lost failed so once in three runs under load ("unknown in_progress, expected done"). The answer now waits for the commit, for at most 1 s and the deadline. This adds one commit to each order; its cost was not measured.

--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -117,12 +117,20 @@
 
 func (s *Server) runIdempotent(ctx context.Context, q *Request) (*Answer, *proto.Error) {
 	var last *proto.Error
+	unknown := false
 	for range maxTries {
 		a, err := s.attempt(ctx, q)
-		if err == nil || ctx.Err() != nil || !retryable(err.Code) {
-			return a, err
+		if err == nil {
+			return a, nil
 		}
 		last = err
+		if unknown = unknown || err.Outcome == proto.OutcomeUnknown; unknown {
+			// An earlier try may have run, whatever became of this one.
+			last.Outcome = proto.OutcomeUnknown
+		}
+		if ctx.Err() != nil || !retryable(err.Code) {
+			break
+		}
 	}
 	return nil, last
 }
@@ -157,10 +165,30 @@
 	if perr != nil {
 		return nil, perr
 	}
-	go s.settle(state.Command{Outcome: &state.Outcome{ID: q.ID, Holder: holder, Answer: recorded(a)}})
+	s.recordOutcome(ctx, state.Command{Outcome: &state.Outcome{ID: q.ID, Holder: holder, Answer: recorded(a)}})
 	return a, nil
 }
 
+// recordWait bounds the delay of an answer while no leader records it. It is longer than an election takes.
+const recordWait = time.Second
+
+// recordOutcome returns once the outcome is committed, so that a resend after the answer gets it even if this host or
+// the leader is lost right after the answer. It gives up waiting, but not trying, after recordWait or with ctx.
+func (s *Server) recordOutcome(ctx context.Context, c state.Command) {
+	settled := make(chan struct{})
+	go func() {
+		defer close(settled)
+		s.settle(c)
+	}()
+	t := time.NewTimer(recordWait)
+	defer t.Stop()
+	select {
+	case <-settled:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 // settleTimeout bounds the tries to record what became of a claim. A claim that isn't settled stays held.
 const settleTimeout = 10 * time.Second
 
