Answer oversized headers with a typed error

A handler now refuses headers beyond max_header_bytes with code too_large, and net/http reads up to four times the limit. Beyond that the answer is still plain text.

--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -124,7 +124,35 @@
 }
 
 func newServer(h http.Handler, maxHeaderBytes int64) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: int(maxHeaderBytes)}
+	return &http.Server{
+		Handler: limitHeaders(h, maxHeaderBytes), ReadHeaderTimeout: readHeaderTimeout,
+		MaxHeaderBytes: int(hardHeaderFactor * maxHeaderBytes),
+	}
+}
+
+// hardHeaderFactor is how far net/http reads beyond the limit. It answers what exceeds its own limit with plain text,
+// so that up to there limitHeaders gives the typed error.
+const hardHeaderFactor = 4
+
+// headerLineBytes is what a header line takes beyond its name and value.
+const headerLineBytes = int64(len(": \r\n"))
+
+// limitHeaders refuses requests whose request line and headers are larger than the limit.
+func limitHeaders(next http.Handler, limit int64) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n := int64(len(r.Method)+len(r.RequestURI)+len(r.Proto)+len(r.Host)) + headerLineBytes
+		for k, vs := range r.Header {
+			for _, v := range vs {
+				n += int64(len(k)+len(v)) + headerLineBytes
+			}
+		}
+		if n > limit {
+			peer.WriteError(w, proto.NotRun(proto.CodeTooLarge, http.StatusRequestHeaderFieldsTooLarge,
+				"headers are larger than %d bytes", limit))
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 func callerRouter(p listenerParams) http.Handler {
