Add scenarios of poison, lost disks, names, pairs and bad input

The fleet learns to lose a disk, start a twin of an upstream and name crashed stand-ins. An order whose entry host is killed was covered by order_resent already.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -48,6 +49,8 @@
 	Services       []Service
 	// Policy is the admission policy of the settings; empty means the default of the daemon.
 	Policy string
+	// OperatorToken is the token of the operator addresses; empty admits everybody.
+	OperatorToken string
 	// BalancerDelay is the time between turning readiness off and refusing requests at a stop.
 	BalancerDelay time.Duration
 }
@@ -58,6 +61,8 @@
 	Centre  string
 	Caller  string
 	Control string
+	// Operator asks for the token of the configuration, if there is one.
+	Operator string
 }
 
 // Upstream is a stand-in of the fleet.
@@ -70,7 +75,7 @@
 
 // Fleet is a running fleet. It is safe for concurrent use.
 type Fleet struct {
-	// Hosts and Upstreams do not change after Start.
+	// Hosts does not change after Start. Upstreams is changed only by StartTwin, which no other call may overlap.
 	Hosts     []Host
 	Upstreams []Upstream
 
@@ -107,6 +112,7 @@
 	for _, s := range f.cfg.Services {
 		n += s.Upstreams
 	}
+	n += sparePorts
 	ports, err := claimBlock(n)
 	if err != nil {
 		return err
@@ -135,6 +141,7 @@
 		for i := range f.cfg.HostsPerCentre {
 			f.Hosts = append(f.Hosts, Host{
 				Name: fmt.Sprintf("%s%d", c, i+1), Centre: c, Caller: f.ports.next(), Control: f.ports.next(),
+				Operator: f.ports.next(),
 			})
 		}
 	}
@@ -179,7 +186,7 @@
 	u := f.Upstreams[i]
 	s := f.service(u.Service)
 	args := []string{
-		"--name", u.Name, "--listen", u.Address, "--data-centre", u.Centre, "--service", u.Service,
+		"--name", strings.TrimSuffix(u.Name, twinSuffix), "--listen", u.Address, "--data-centre", u.Centre, "--service", u.Service,
 		"--slots", fmt.Sprint(s.Slots), "--service-time", s.ServiceTime.String(), "--record", f.recordFile(name),
 	}
 	if s.Keyed {
@@ -191,6 +198,37 @@
 	return "standin", append(args, s.Flags...), nil
 }
 
+// twinSuffix ends the process name of an upstream that announces the name of another one.
+const twinSuffix = "-twin"
+
+// StartTwin starts an upstream that announces the name of another one from an address of its own, and returns the
+// name of the process.
+func (f *Fleet) StartTwin(name string) (string, error) {
+	i := slices.IndexFunc(f.Upstreams, func(u Upstream) bool { return u.Name == name })
+	if i < 0 {
+		return "", errors.Errorf("no upstream is named %s", name)
+	}
+	u := f.Upstreams[i]
+	u.Name, u.Address = name+twinSuffix, f.ports.next()
+	f.Upstreams = append(f.Upstreams, u)
+	return u.Name, f.Restart(u.Name)
+}
+
+// LoseDisk kills a host with a replica and empties its data folder.
+func (f *Fleet) LoseDisk(host string) error {
+	if err := f.Kill(host); err != nil {
+		return err
+	}
+	folder := f.dataFolder(host)
+	if _, err := os.Stat(folder); err != nil {
+		return errors.Wrap(err, "find data folder")
+	}
+	if err := os.RemoveAll(folder); err != nil {
+		return errors.Wrap(err, "remove data folder")
+	}
+	return errs.Wrap(os.Mkdir(folder, 0o700), "make data folder")
+}
+
 // controls lists the control addresses, those of the given data centre first.
 func (f *Fleet) controls(centre string) []string {
 	var near, far []string
@@ -252,9 +290,11 @@
 // Ports of a fleet. A block is claimed by listening on its first port for the life of the fleet, so that fleets of
 // several processes on one machine never share a block. The range lies below the kernel's ephemeral ports.
 const (
-	firstPort    = 20000
-	lastPort     = 24999
-	blockPorts   = 100
+	firstPort  = 20000
+	lastPort   = 24999
+	blockPorts = 100
+	// sparePorts are kept for twins.
+	sparePorts   = 2
 	portsPerHost = 3
 )
 
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -5,10 +5,12 @@
 	"os"
 	"os/exec"
 	"runtime"
+	"slices"
 	"sync"
 	"syscall"
 
 	"baobabreach/internal/errs"
+	"baobabreach/internal/stub"
 
 	"github.com/go-faster/errors"
 )
@@ -112,6 +114,20 @@
 	return nil
 }
 
+// Crashed names the upstreams that a fault ended, sorted. A supervisor restarts them.
+func (f *Fleet) Crashed() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []string
+	for _, u := range f.Upstreams {
+		if p := f.processes[u.Name]; p != nil && p.ended() && p.cmd.ProcessState.ExitCode() == stub.CrashStatus {
+			out = append(out, u.Name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Running tells whether a process has not ended.
 func (f *Fleet) Running(name string) bool {
 	_, err := f.running(name)
--- a/internal/fleet/query.go
+++ b/internal/fleet/query.go
@@ -5,11 +5,15 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"os"
+	"slices"
 	"time"
 
 	"baobabreach/internal/errs"
+	"baobabreach/internal/node"
+	"baobabreach/internal/opapi"
 	"baobabreach/internal/owner"
 	"baobabreach/internal/peer"
 	"baobabreach/internal/stub"
@@ -79,6 +83,76 @@
 	return nil
 }
 
+// Fences maps every granted range to its owner and epoch, as the running upstreams tell.
+func (f *Fleet) Fences(ctx context.Context) (map[uint64]string, error) {
+	out := map[uint64]string{}
+	for _, u := range f.Upstreams {
+		if !f.service(u.Service).Keyed || !f.Running(u.Name) {
+			continue
+		}
+		st, err := f.Stats(ctx, u.Name)
+		if err != nil {
+			return nil, err
+		}
+		for r, e := range st.Epochs {
+			out[r] = fmt.Sprintf("%s epoch %d", u.Name, e)
+		}
+	}
+	return out, nil
+}
+
+// CheckBalanced returns an error unless the running upstreams of every keyed service own equal shares, up to one range.
+func (f *Fleet) CheckBalanced(ctx context.Context) error {
+	least, most := map[string]int{}, map[string]int{}
+	for _, u := range f.Upstreams {
+		if !f.service(u.Service).Keyed || !f.Running(u.Name) {
+			continue
+		}
+		st, err := f.Stats(ctx, u.Name)
+		if err != nil {
+			return err
+		}
+		n := len(st.Epochs)
+		if _, ok := least[u.Service]; !ok {
+			least[u.Service] = n
+		}
+		least[u.Service], most[u.Service] = min(least[u.Service], n), max(most[u.Service], n)
+	}
+	for s := range least {
+		if most[s]-least[s] > 1 {
+			return errors.Errorf("upstreams of %s own between %d and %d ranges", s, least[s], most[s])
+		}
+	}
+	return f.CheckOwned(ctx)
+}
+
+// Overview returns the leader's view of the fleet.
+func (f *Fleet) Overview(ctx context.Context) (opapi.Fleet, error) {
+	name, err := f.Leader(ctx)
+	if err != nil {
+		return opapi.Fleet{}, err
+	}
+	i := slices.IndexFunc(f.Hosts, func(h Host) bool { return h.Name == name })
+	return peer.Call[struct{}, opapi.Fleet](ctx, f.client, "http://"+f.Hosts[i].Control+peer.PathFleet, "", struct{}{})
+}
+
+// Replicas asks every running replica for its status.
+func (f *Fleet) Replicas(ctx context.Context) (map[string]node.Status, error) {
+	out := map[string]node.Status{}
+	for i := 0; i < len(f.Hosts); i += f.cfg.HostsPerCentre {
+		h := f.Hosts[i]
+		if !f.Running(h.Name) {
+			continue
+		}
+		st, err := peer.Call[struct{}, node.Status](ctx, f.client, "http://"+h.Control+peer.PathReplicaStatus, "", struct{}{})
+		if err != nil {
+			return nil, errors.Wrapf(err, "status of replica %s", h.Name)
+		}
+		out[h.Name] = st
+	}
+	return out, nil
+}
+
 // Stats returns what a running upstream tells about itself.
 func (f *Fleet) Stats(ctx context.Context, upstream string) (stub.Stats, error) {
 	var st stub.Stats
@@ -148,6 +222,8 @@
 			if err := json.Unmarshal(s.Bytes(), &x); err != nil {
 				return nil, errors.Wrapf(err, "record of %s", u.Name)
 			}
+			// A twin records the name that it announces.
+			x.Upstream = u.Name
 			out = append(out, x)
 		}
 		if err := s.Err(); err != nil {
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -15,6 +15,8 @@
 
 func (f *Fleet) settingsFile(host string) string { return filepath.Join(f.folder, host+".ini") }
 
+func (f *Fleet) dataFolder(host string) string { return filepath.Join(f.folder, "data-"+host) }
+
 func (f *Fleet) recordFile(upstream string) string { return filepath.Join(f.folder, upstream+".runs") }
 
 func (f *Fleet) writeSettings(i int) error {
@@ -27,13 +29,20 @@
 	}
 	set("daemon", "host", h.Name, "data_centre", h.Centre)
 	if i%f.cfg.HostsPerCentre == 0 {
-		data := filepath.Join(f.folder, "data-"+h.Name)
+		data := f.dataFolder(h.Name)
 		if err := os.Mkdir(data, 0o700); err != nil {
 			return errors.Wrap(err, "make data folder")
 		}
 		set("daemon", "data_dir", data)
 	}
-	set("listen", "caller", h.Caller, "control", h.Control, "operator", f.ports.next())
+	set("listen", "caller", h.Caller, "control", h.Control, "operator", h.Operator)
+	if f.cfg.OperatorToken != "" {
+		name := filepath.Join(f.folder, h.Name+".token")
+		if err := os.WriteFile(name, []byte(f.cfg.OperatorToken), 0o600); err != nil {
+			return errors.Wrap(err, "write token")
+		}
+		set("access", "operator_token_file", name)
+	}
 	set("cluster", "replicas", f.replicas())
 	set("log", "level", "info")
 	if f.cfg.Policy != "" {
--- /dev/null
+++ b/internal/scene/input_test.go
@@ -0,0 +1,61 @@
+package scene_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+
+	"baobabreach/internal/fleet"
+	"baobabreach/pkg/proto"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// input: input HOST caller|control|operator METHOD PATH BODY STATUS CODE [HEADER=VALUE]... sends bad input and expects
+// a typed error whose outcome is not_run. big:N in a body or value stands for N letters.
+func (s *scene) input(ctx context.Context, _ *testscript.TestScript, args []string) error {
+	i := slices.IndexFunc(s.fleet.Hosts, func(h fleet.Host) bool { return h.Name == args[0] })
+	h := s.fleet.Hosts[i]
+	address := map[string]string{"caller": h.Caller, "control": h.Control, "operator": h.Operator}[args[1]]
+	req, err := http.NewRequestWithContext(ctx, args[2], "http://"+address+args[3], strings.NewReader(letters(args[4])))
+	if err != nil {
+		return err
+	}
+	for _, a := range args[7:] {
+		k, v, _ := strings.Cut(a, "=")
+		req.Header.Set(k, letters(v))
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	var e proto.Error
+	if err := json.Unmarshal(b, &e); err != nil {
+		return fmt.Errorf("status %d, body %q is not a typed error: %w", resp.StatusCode, b, err)
+	}
+	if strconv.Itoa(resp.StatusCode) != args[5] || e.Status != resp.StatusCode || string(e.Code) != args[6] ||
+		e.Message == "" || e.Outcome != proto.OutcomeNotRun {
+		return fmt.Errorf("status %d with %s, expected status %s, code %s and outcome not_run",
+			resp.StatusCode, b, args[5], args[6])
+	}
+	return nil
+}
+
+func letters(v string) string {
+	count, ok := strings.CutPrefix(v, "big:")
+	n, err := strconv.Atoi(count)
+	if !ok || err != nil {
+		return v
+	}
+	return strings.Repeat("x", n)
+}
--- /dev/null
+++ b/internal/scene/steps_test.go
@@ -0,0 +1,367 @@
+package scene_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"baobabreach/internal/claim"
+	"baobabreach/internal/fleet"
+	"baobabreach/internal/intent"
+	"baobabreach/internal/load"
+	"baobabreach/internal/model"
+	"baobabreach/internal/opapi"
+	"baobabreach/internal/peer"
+	"baobabreach/pkg/proto"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+const (
+	// crashText in a body crashes the stand-ins of pages and orders.
+	crashText     = "crash"
+	operatorToken = "scene-token"
+	watchInterval = 20 * time.Millisecond
+)
+
+// extra returns the further services of a fleet: pages is idempotent and has no keys.
+func extra(options []string) []fleet.Service {
+	if !slices.Contains(options, "pages") {
+		return nil
+	}
+	return []fleet.Service{{
+		Name: "pages", Idempotent: true, Class: "short", Upstreams: 3, Slots: 3, Deadline: 5 * time.Second,
+		ServiceTime: 2 * time.Millisecond, Flags: []string{"--fault-long-ms=1000", "--fault-crash-body=" + crashText},
+	}}
+}
+
+func catalogueFlags(options []string) []string {
+	if slices.Contains(options, "nocheck") {
+		return []string{"--no-check"}
+	}
+	return nil
+}
+
+// supervisor restarts crashed stand-ins and counts the crashes per service.
+type supervisor struct {
+	mu      sync.Mutex
+	crashes map[string]int
+}
+
+func (s *scene) supervise(ts *testscript.TestScript) error {
+	s.supervisor.crashes = map[string]int{}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	ts.Defer(func() {
+		cancel()
+		<-done
+	})
+	go func() {
+		defer close(done)
+		for ctx.Err() == nil {
+			s.restartCrashed()
+			time.Sleep(watchInterval)
+		}
+	}()
+	return nil
+}
+
+func (s *scene) restartCrashed() {
+	for _, n := range s.fleet.Crashed() {
+		i := slices.IndexFunc(s.fleet.Upstreams, func(u fleet.Upstream) bool { return u.Name == n })
+		s.supervisor.mu.Lock()
+		s.supervisor.crashes[s.fleet.Upstreams[i].Service]++
+		s.supervisor.mu.Unlock()
+		_ = s.fleet.Restart(n)
+	}
+}
+
+func (s *scene) crashes(service string) int {
+	s.supervisor.mu.Lock()
+	defer s.supervisor.mu.Unlock()
+	return s.supervisor.crashes[service]
+}
+
+func (s *scene) up() []fleet.Host {
+	return slices.DeleteFunc(slices.Clone(s.fleet.Hosts), func(h fleet.Host) bool {
+		return s.down[h.Name] || !s.fleet.Running(h.Name)
+	})
+}
+
+// call: call SERVICE METHOD HOST BODY sends one request under a new id.
+func (s *scene) call(ctx context.Context, _ *testscript.TestScript, args []string) error {
+	s.last = s.client.Send(ctx, s.caller(args[2]), load.Request{
+		ID: s.newID(), Service: args[0], Method: args[1], Body: args[3],
+	})
+	return nil
+}
+
+// poison: poison SERVICE METHOD CRASHES|refused sends a request that crashes upstreams, under new ids and through
+// each host in turn, until it has taken down CRASHES upstreams or every host in turn refuses it as quarantined.
+func (s *scene) poison(ctx context.Context, ts *testscript.TestScript, args []string) error {
+	hosts := s.up()
+	want, err := strconv.Atoi(args[2])
+	if err != nil {
+		want = -1
+	}
+	refused := 0
+	for i := 0; refused < len(hosts) && s.crashes(args[0]) != want; i++ {
+		s.last = s.client.Send(ctx, hosts[i%len(hosts)].Caller, load.Request{
+			ID: s.newID(), Service: args[0], Method: args[1], Body: crashText,
+		})
+		ts.Logf("%s: %s %s", hosts[i%len(hosts)].Name, s.last.Outcome, s.last.Code)
+		switch {
+		case s.last.Outcome == proto.OutcomeDone:
+			return fmt.Errorf("a request that crashes upstreams was answered by %s", s.last.Upstream)
+		case s.last.Code == proto.CodeQuarantined && s.last.Outcome == proto.OutcomeNotRun:
+			refused++
+		case refused > 0:
+			return fmt.Errorf("%s answered %s %s after another host had refused",
+				hosts[i%len(hosts)].Name, s.last.Outcome, s.last.Code)
+		}
+		if ctx.Err() != nil {
+			return fmt.Errorf("after %d crashes the last answer is %s %s: %w",
+				s.crashes(args[0]), s.last.Outcome, s.last.Code, ctx.Err())
+		}
+		// The supervisor counts a crash once it sees the end of the process.
+		time.Sleep(3 * watchInterval)
+	}
+	return nil
+}
+
+// flight: flight SERVICE METHOD HOST N starts N identical long requests and returns once they run. Each is sent again
+// under a new id until it is answered.
+func (s *scene) flight(ctx context.Context, _ *testscript.TestScript, args []string) error {
+	n, err := strconv.Atoi(args[3])
+	if err != nil {
+		return err
+	}
+	before, err := s.fleet.Executions()
+	if err != nil {
+		return err
+	}
+	for range n {
+		q := load.Request{Service: args[0], Method: args[1], Class: "long", Body: "identical", Deadline: 5 * time.Second}
+		s.flights.Go(func() { s.sendUntilDone(s.caller(args[2]), q) })
+	}
+	return fleet.Wait(ctx, func(context.Context) error {
+		xs, err := s.fleet.Executions()
+		if err == nil && len(xs) < len(before)+n {
+			err = fmt.Errorf("%d of %d requests run", len(xs)-len(before), n)
+		}
+		return err
+	})
+}
+
+func (s *scene) sendUntilDone(host string, q load.Request) {
+	ctx, cancel := context.WithTimeout(context.Background(), stepLimit)
+	defer cancel()
+	var r load.Reply
+	for i := 0; ctx.Err() == nil; i++ {
+		q.ID = s.newID()
+		if r = s.client.Send(ctx, host, q); r.Outcome == proto.OutcomeDone {
+			return
+		}
+		if r.Code == proto.CodeQuarantined {
+			break
+		}
+		time.Sleep(watchInterval)
+		if h := s.fleet.Hosts[i%len(s.fleet.Hosts)]; s.fleet.Running(h.Name) {
+			host = h.Caller
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost = append(s.lost, fmt.Sprintf("%s %s: %s %s", q.Method, q.Service, r.Outcome, r.Code))
+}
+
+// join: join waits for the requests of flight. Those that were not answered count as lost.
+func (s *scene) join(context.Context, *testscript.TestScript, []string) error {
+	s.flights.Wait()
+	return nil
+}
+
+// memory is what the fleet had when a script asked to remember it.
+type memory struct {
+	fences   map[uint64]string
+	overview opapi.Fleet
+	replicas map[string]string
+}
+
+// remember: remember keeps settings, assignments and the identities of disks for a later comparison.
+func (s *scene) remember(ctx context.Context, _ *testscript.TestScript, _ []string) error {
+	return fleet.Wait(ctx, func(ctx context.Context) (err error) {
+		if s.kept.overview, err = s.fleet.Overview(ctx); err != nil {
+			return err
+		}
+		if s.kept.fences, err = s.fleet.Fences(ctx); err != nil {
+			return err
+		}
+		rs, err := s.fleet.Replicas(ctx)
+		s.kept.replicas = map[string]string{}
+		for h, r := range rs {
+			s.kept.replicas[h] = r.ID
+		}
+		return err
+	})
+}
+
+// checkRepaired fails unless every replica that runs is the only voter of its host, and the one lost last came back
+// under a new identity.
+func (s *scene) checkRepaired(ctx context.Context) error {
+	rs, err := s.fleet.Replicas(ctx)
+	if err != nil {
+		return err
+	}
+	for h, r := range rs {
+		if len(r.Members.Voters) != 3 || len(r.Members.Learners) > 0 {
+			return fmt.Errorf("replica %s has %d voters, %d learners", h, len(r.Members.Voters), len(r.Members.Learners))
+		}
+		m, ok := r.Members.ByID(r.ID)
+		if !ok || m.Host != h {
+			return fmt.Errorf("replica %s is no member", h)
+		}
+	}
+	if s.lostName != "" && rs[s.lostName].ID == s.kept.replicas[s.lostName] {
+		return fmt.Errorf("replica %s kept its identity", s.lostName)
+	}
+	return nil
+}
+
+// limit: limit TENANT N plans and confirms a limit through the first host that runs.
+func (s *scene) limit(ctx context.Context, _ *testscript.TestScript, args []string) error {
+	n, err := strconv.Atoi(args[1])
+	if err != nil {
+		return err
+	}
+	h := "http://" + s.up()[0].Operator
+	return fleet.Wait(ctx, func(ctx context.Context) error {
+		in := intent.Intent{
+			ID: s.newID(), Operator: "scene",
+			Limit: &intent.Limit{Tenant: args[0], Class: model.ClassLong, PerSecond: float64(n)},
+		}
+		p, err := peer.Call[intent.Intent, intent.Plan](ctx, http.DefaultClient, h+opapi.PathPlan, operatorToken, in)
+		if err != nil {
+			return err
+		}
+		_, err = peer.Call[opapi.Confirmation, intent.Confirmation](ctx, http.DefaultClient, h+opapi.PathConfirm, operatorToken,
+			opapi.Confirmation{ID: p.ID, Operator: "scene"})
+		return err
+	})
+}
+
+// refused: refused ORDER HOST sends a new order and a key through a host until both are refused as not run.
+func (s *scene) refused(ctx context.Context, _ *testscript.TestScript, args []string) error {
+	host := s.caller(args[1])
+	err := fleet.Wait(ctx, func(ctx context.Context) error {
+		r := s.client.Send(ctx, host, load.Request{ID: s.newID(), Service: "catalogue", Key: "key-0"})
+		if r.Outcome != proto.OutcomeNotRun {
+			return fmt.Errorf("the key's outcome is %s %s", r.Outcome, r.Code)
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	q := load.Request{
+		ID: s.newID(), Service: "orders", Method: http.MethodPost, Body: args[0], Deadline: time.Second,
+	}
+	s.orders[args[0]] = q
+	if r := s.client.Send(ctx, host, q); r.Outcome != proto.OutcomeNotRun {
+		return fmt.Errorf("the order's outcome is %s %s %w", r.Outcome, r.Code, r.Err)
+	}
+	return nil
+}
+
+func hold(ctx context.Context, arg string) error {
+	d, err := time.ParseDuration(arg)
+	if err != nil {
+		return err
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
+
+// expectMore: expect code CODE | expect crashes SERVICE N (at most) | expect idle UPSTREAM |
+// expect fenced | expect settings | expect assignments | expect unchanged
+func (s *scene) expectMore(ctx context.Context, args []string) error {
+	switch args[0] {
+	case "code":
+		if string(s.last.Code) != args[1] {
+			return fmt.Errorf("the last code is %q, expected %q", s.last.Code, args[1])
+		}
+		return nil
+	case "crashes":
+		n, err := strconv.Atoi(args[2])
+		if got := s.crashes(args[1]); err == nil && got > n {
+			err = fmt.Errorf("%d upstreams of %s crashed, expected at most %d", got, args[1], n)
+		}
+		return err
+	case "idle":
+		xs, err := s.fleet.Executions()
+		for _, x := range xs {
+			if x.Upstream == args[1] {
+				return fmt.Errorf("%s ran %s", args[1], x.RequestID)
+			}
+		}
+		return err
+	case "fenced":
+		return s.expectFenced()
+	case "settings", "assignments", "unchanged":
+		return fleet.Wait(ctx, func(ctx context.Context) error { return s.compare(ctx, args[0]) })
+	}
+	return unknownStep(args[0])
+}
+
+// expectFenced fails if an upstream ran a request that was sent after a later epoch of the range had run. What an
+// owner without checks of grants had received before it froze, it runs when it resumes: nothing can call that back.
+func (s *scene) expectFenced() error {
+	xs, err := s.fleet.Executions()
+	if err != nil {
+		return err
+	}
+	for _, x := range xs {
+		sentMs, err := claim.IDTime(x.RequestID)
+		if err != nil {
+			return err
+		}
+		for _, y := range xs {
+			if y.Range == x.Range && y.Epoch > x.Epoch && sentMs > y.StartNs/int64(time.Millisecond) {
+				return fmt.Errorf("run after the move: %s", describe(x))
+			}
+		}
+	}
+	return nil
+}
+
+// compare fails if the fleet differs from what was remembered.
+func (s *scene) compare(ctx context.Context, what string) error {
+	if what == "assignments" {
+		now, err := s.fleet.Fences(ctx)
+		if err == nil && !maps.Equal(now, s.kept.fences) {
+			err = fmt.Errorf("the assignments are %v, expected %v", now, s.kept.fences)
+		}
+		return err
+	}
+	now, err := s.fleet.Overview(ctx)
+	if err != nil {
+		return err
+	}
+	was := s.kept.overview
+	if now.Revision != was.Revision || !slices.Equal(now.Limits, was.Limits) {
+		return fmt.Errorf("revision %d with limits %v, expected %d with %v", now.Revision, now.Limits, was.Revision, was.Limits)
+	}
+	if what == "unchanged" && now.Version != was.Version {
+		return fmt.Errorf("table version %d, expected %d", now.Version, was.Version)
+	}
+	return nil
+}
--- a/internal/stub/stub.go
+++ b/internal/stub/stub.go
@@ -43,6 +43,9 @@
 	Exit func()
 }
 
+// CrashStatus is the exit status of a crash that a fault asked for.
+const CrashStatus = 3
+
 // Execution is one run of a request.
 type Execution struct {
 	RequestID string `json:"request_id"`
