--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -21,6 +21,8 @@
 	Binaries string        `default:"bin" type:"existingdir" help:"Folder with the programs."`
 	Seed     uint64        `default:"1" help:"Seed of keys and request ids."`
 	Duration time.Duration `default:"14s" help:"Time under load, at most 40s."`
+	Measure  string        `enum:",unavailability" default:"" help:"Measure the unavailability of keys instead."`
+	Runs     int           `default:"10" help:"Losses of each kind that are measured."`
 }
 
 const (
@@ -36,6 +38,13 @@
 	kong.Parse(&c, kong.Name("demo"), kong.Description("Shows a fleet that loses an upstream and its leader."))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	if c.Measure != "" {
+		if err := measureUnavailability(ctx, c.Binaries, c.Runs); err != nil {
+			fmt.Fprintln(os.Stderr, "demo:", err)
+			os.Exit(1)
+		}
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, runTimeout)
 	defer cancel()
 	s, err := run(ctx, c)
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -43,6 +43,8 @@
 	Upstream string
 	// Err is the error of the transport, if no whole answer arrived.
 	Err error
+	// Message explains Code to a human.
+	Message string
 }
 
 // Client sends requests to entry hosts. It is safe for concurrent use.
@@ -100,7 +102,7 @@
 	}
 	var e proto.Error
 	if r.Outcome != proto.OutcomeDone && json.Unmarshal(body, &e) == nil {
-		r.Code = e.Code
+		r.Code, r.Message = e.Code, e.Message
 	}
 	if id := resp.Header.Get(proto.HeaderRequestID); id != q.ID || r.Outcome == "" {
 		return lost(errors.Errorf("the answer has request id %q and outcome %q", id, r.Outcome))
