--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -51,16 +52,19 @@
 	Limits []model.Limit
 	// Policy is the admission policy of the settings; empty means the default of the daemon.
 	Policy string
+	// OperatorToken is the token of the operator addresses; empty admits everybody.
+	OperatorToken string
 	// BalancerDelay is the time between turning readiness off and refusing requests at a stop.
 	BalancerDelay time.Duration
 }
 
 // Host is a daemon of the fleet.
 type Host struct {
-	Name     string
-	Centre   string
-	Caller   string
-	Control  string
+	Name    string
+	Centre  string
+	Caller  string
+	Control string
+	// Operator asks for the token of the configuration, if there is one.
 	Operator string
 }
 
@@ -74,7 +78,7 @@
 
 // Fleet is a running fleet. It is safe for concurrent use.
 type Fleet struct {
-	// Hosts and Upstreams do not change after Start.
+	// Hosts does not change after Start. Upstreams is changed only by StartTwin, which no other call may overlap.
 	Hosts     []Host
 	Upstreams []Upstream
 
@@ -111,6 +115,7 @@
 	for _, s := range f.cfg.Services {
 		n += s.Upstreams
 	}
+	n += sparePorts
 	ports, err := claimBlock(n)
 	if err != nil {
 		return err
@@ -184,7 +189,7 @@
 	u := f.Upstreams[i]
 	s := f.service(u.Service)
 	args := []string{
-		"--name", u.Name, "--listen", u.Address, "--data-centre", u.Centre, "--service", u.Service,
+		"--name", strings.TrimSuffix(u.Name, twinSuffix), "--listen", u.Address, "--data-centre", u.Centre, "--service", u.Service,
 		"--slots", fmt.Sprint(s.Slots), "--service-time", s.ServiceTime.String(), "--record", f.recordFile(name),
 	}
 	if s.Keyed {
@@ -196,6 +201,30 @@
 	return "standin", append(args, s.Flags...), nil
 }
 
+// twinSuffix ends the process name of an upstream that announces the name of another one.
+const twinSuffix = "-twin"
+
+// StartTwin starts an upstream that announces the name of another one from an address of its own, and returns the
+// name of the process.
+func (f *Fleet) StartTwin(name string) (string, error) {
+	i := slices.IndexFunc(f.Upstreams, func(u Upstream) bool { return u.Name == name })
+	if i < 0 {
+		return "", errors.Errorf("no upstream is named %s", name)
+	}
+	u := f.Upstreams[i]
+	u.Name, u.Address = name+twinSuffix, f.ports.next()
+	f.Upstreams = append(f.Upstreams, u)
+	return u.Name, f.Restart(u.Name)
+}
+
+// LoseDisk kills a host with a replica and empties its data folder.
+func (f *Fleet) LoseDisk(host string) error {
+	if err := f.Kill(host); err != nil {
+		return err
+	}
+	return f.Wipe(host)
+}
+
 // controls lists the control addresses, those of the given data centre first.
 func (f *Fleet) controls(centre string) []string {
 	var near, far []string
@@ -260,7 +289,9 @@
 	firstPort = 20000
 	lastPort  = 24999
 	// blockPorts fits 48 daemons with a few stand-ins.
-	blockPorts   = 200
+	blockPorts = 200
+	// sparePorts are kept for twins.
+	sparePorts   = 2
 	portsPerHost = 3
 )
 
--- a/internal/fleet/operate.go
+++ b/internal/fleet/operate.go
@@ -44,7 +44,7 @@
 		return "", err
 	}
 	in.ID, in.Operator = NewIntentID(), Operator
-	_, err = peer.Call[intent.Intent, intent.Plan](ctx, f.client, "http://"+h.Operator+opapi.PathPlan, "", in)
+	_, err = peer.Call[intent.Intent, intent.Plan](ctx, f.client, "http://"+h.Operator+opapi.PathPlan, f.cfg.OperatorToken, in)
 	return in.ID, errs.Wrap(err, "plan through "+host)
 }
 
@@ -54,7 +54,8 @@
 	if err != nil {
 		return intent.Confirmation{}, err
 	}
-	c, err := peer.Call[opapi.Confirmation, intent.Confirmation](ctx, f.client, "http://"+h.Operator+opapi.PathConfirm, "",
+	c, err := peer.Call[opapi.Confirmation, intent.Confirmation](ctx, f.client, "http://"+h.Operator+opapi.PathConfirm,
+		f.cfg.OperatorToken,
 		opapi.Confirmation{ID: id, Operator: Operator})
 	return c, errs.Wrap(err, "confirm through "+host)
 }
@@ -108,7 +109,7 @@
 	if err != nil {
 		return a, err
 	}
-	b, status, err := f.get(ctx, h.Operator, path)
+	b, status, err := f.getWith(ctx, h.Operator, path, f.cfg.OperatorToken)
 	if err != nil {
 		return a, err
 	}
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -15,10 +15,10 @@
 
 func (f *Fleet) settingsFile(host string) string { return filepath.Join(f.folder, host+".ini") }
 
-func (f *Fleet) recordFile(upstream string) string { return filepath.Join(f.folder, upstream+".runs") }
-
 func (f *Fleet) dataFolder(host string) string { return filepath.Join(f.folder, "data-"+host) }
 
+func (f *Fleet) recordFile(upstream string) string { return filepath.Join(f.folder, upstream+".runs") }
+
 func (f *Fleet) writeSettings(i int) error {
 	h := f.Hosts[i]
 	file := ini.Empty()
@@ -36,6 +36,13 @@
 		set("daemon", "data_dir", data)
 	}
 	set("listen", "caller", h.Caller, "control", h.Control, "operator", h.Operator)
+	if f.cfg.OperatorToken != "" {
+		name := f.TokenFile(h.Name)
+		if err := os.WriteFile(name, []byte(f.cfg.OperatorToken), 0o600); err != nil {
+			return errors.Wrap(err, "write token")
+		}
+		set("access", "operator_token_file", name)
+	}
 	set("cluster", "replicas", f.replicas())
 	set("log", "level", "info")
 	if f.cfg.Policy != "" {
@@ -77,3 +84,6 @@
 	}
 	return nil
 }
+
+// TokenFile returns the file of a host's operator token; it exists only if the configuration has a token.
+func (f *Fleet) TokenFile(host string) string { return filepath.Join(f.folder, host+".token") }
--- a/internal/scene/operate_test.go
+++ b/internal/scene/operate_test.go
@@ -27,7 +27,8 @@
 	}
 	err = fleet.Wait(ctx, func(ctx context.Context) error {
 		var out bytes.Buffer
-		c := exec.CommandContext(ctx, "../../bin/baobabreach", append(args, "--operator", h.Operator)...)
+		args := append(args, "--operator", h.Operator, "--token-file", s.fleet.TokenFile(host))
+		c := exec.CommandContext(ctx, "../../bin/baobabreach", args...)
 		c.Stdout, c.Stderr = &out, &out
 		err := c.Run()
 		var exit *exec.ExitError
@@ -135,7 +136,8 @@
 	if err != nil {
 		return err
 	}
-	c := exec.Command("../../bin/baobabreach", "confirm", s.intents[args[0]], "--as", args[2], "--operator", h.Operator)
+	c := exec.Command("../../bin/baobabreach", "confirm", s.intents[args[0]], "--as", args[2], "--operator", h.Operator,
+		"--token-file", s.fleet.TokenFile(args[1]))
 	if err := c.Start(); err != nil {
 		return err
 	}
@@ -207,7 +209,7 @@
 		args[1] = host
 		return s.expectRole(ctx, args[1], model.MemberRole(args[2]))
 	}
-	return fmt.Errorf("unknown expectation %q", args[0])
+	return unknownStep(args[0])
 }
 
 // expectNewest waits until a host is ready that was started after the newest change. It may never be ready with an
--- a/internal/scene/scene_test.go
+++ b/internal/scene/scene_test.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -37,11 +38,15 @@
 			e.Values["scene"] = &scene{
 				client: load.NewClient(), orders: map[string]load.Request{}, intents: map[string]string{},
 				first: map[string]string{}, seen: map[string]uint64{},
+				down: map[string]bool{},
 			}
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"fleet": step((*scene).change), "send": step((*scene).send), "order": step((*scene).order),
+			"call": step((*scene).call), "poison": step((*scene).poison), "flight": step((*scene).flight),
+			"join": step((*scene).join), "remember": step((*scene).remember), "refused": step((*scene).refused),
+			"limit": step((*scene).limit), "input": step((*scene).input),
 			"begin": step((*scene).begin), "load": step((*scene).load), "expect": step((*scene).expect),
 			"plan": step((*scene).plan), "confirm": step((*scene).confirm), "race": step((*scene).race),
 			"lose-answer": step((*scene).loseAnswer), "changes": step((*scene).changes), "operator": step((*scene).operator),
@@ -56,7 +61,14 @@
 	orders map[string]load.Request
 	last   load.Reply
 	// lostName is the process that was killed or paused last.
-	lostName string
+	lostName   string
+	pausedName string
+	// down holds the processes that were killed or paused and neither restarted nor resumed.
+	down map[string]bool
+
+	flights    sync.WaitGroup
+	kept       memory
+	supervisor supervisor
 
 	// intents maps the names of plans to their ids, first to the first answers to their confirmations.
 	intents, first map[string]string
@@ -96,17 +108,18 @@
 	s.random = rand.New(rand.NewPCG(1, 0))
 	s.fleet, err = fleet.Start(ctx, fleet.Config{
 		Binaries: "../../bin", Centres: []string{"a", "b", "c"}, HostsPerCentre: n, BalancerDelay: time.Second,
-		Services: []fleet.Service{
+		OperatorToken: operatorToken,
+		Services: append(extra(args[2:]), []fleet.Service{
 			{
 				Name: "catalogue", Keyed: true, Idempotent: true, Class: "short", Ranges: 12, Upstreams: 3, Slots: 3,
-				ServiceTime: 2 * time.Millisecond,
+				ServiceTime: 2 * time.Millisecond, Flags: catalogueFlags(args[2:]),
 			},
 			// Orders of class long run long enough to be interrupted.
 			{
 				Name: "orders", Class: "short", Upstreams: 3, Slots: 3, Deadline: 5 * time.Second,
-				ServiceTime: 2 * time.Millisecond, Flags: []string{"--fault-long-ms=1000"},
+				ServiceTime: 2 * time.Millisecond, Flags: []string{"--fault-long-ms=1000", "--fault-crash-body=" + crashText},
 			},
-		},
+		}...),
 		Limits: []model.Limit{{Tenant: "partner", Class: model.ClassLong, PerSecond: 40}},
 	})
 	if err == nil {
@@ -137,7 +150,7 @@
 		return err
 	}
 	for _, h := range s.fleet.Hosts {
-		if args[0] != h.Name && args[0] != "all" && (args[0] != "others" || h.Name == s.lostName) || !s.fleet.Running(h.Name) {
+		if args[0] != h.Name && args[0] != "all" && (args[0] != "others" || s.down[h.Name]) || !s.fleet.Running(h.Name) {
 			continue
 		}
 		for k := range keys {
@@ -166,7 +179,7 @@
 	host := args[1]
 	if host == "others" {
 		for _, h := range s.fleet.Hosts {
-			if h.Name != s.lostName && s.fleet.Running(h.Name) {
+			if !s.down[h.Name] && s.fleet.Running(h.Name) {
 				host = h.Name
 			}
 		}
@@ -197,6 +210,9 @@
 	if arg == "lost" {
 		return s.lostName, nil
 	}
+	if arg == "paused" {
+		return s.pausedName, nil
+	}
 	if arg != "leader" {
 		return arg, nil
 	}
@@ -207,15 +223,25 @@
 	return name, err
 }
 
-// change: fleet start HOSTS-PER-CENTRE | fleet kill|pause|stop|restart|wipe NAME | fleet resume NAME | fleet wait
+// change: fleet start HOSTS-PER-CENTRE [pages|nocheck] | fleet kill|pause|stop|restart|resume|lose|wipe|twin NAME |
+// fleet wait|balance|repaired|supervise | fleet hold DURATION
 //
-// NAME may be "leader", or "lost" for the process that was killed or paused last.
+// NAME may be "leader", "lost" for the process that was killed or paused last, or "paused" for the one paused last.
 func (s *scene) change(ctx context.Context, ts *testscript.TestScript, args []string) error {
 	if args[0] == "start" {
 		return s.start(ctx, ts, args)
 	}
-	if args[0] == "wait" {
+	switch args[0] {
+	case "wait":
 		return s.fleet.WaitReady(ctx)
+	case "balance":
+		return fleet.Wait(ctx, s.fleet.CheckBalanced)
+	case "supervise":
+		return s.supervise(ts)
+	case "repaired":
+		return fleet.Wait(ctx, s.checkRepaired)
+	case "hold":
+		return hold(ctx, args[1])
 	}
 	n, err := s.name(ctx, args[1])
 	if err != nil {
@@ -223,16 +249,24 @@
 	}
 	switch args[0] {
 	case "kill":
-		s.lostName = n
+		s.lostName, s.down[n] = n, true
 		return s.fleet.Kill(n)
+	case "lose":
+		s.lostName, s.down[n] = n, true
+		return s.fleet.LoseDisk(n)
 	case "pause":
-		s.lostName = n
+		s.lostName, s.pausedName, s.down[n] = n, n, true
 		return s.fleet.Pause(n)
 	case "resume":
+		delete(s.down, n)
 		return s.fleet.Resume(n)
+	case "twin":
+		_, err := s.fleet.StartTwin(n)
+		return err
 	case "stop":
 		return s.fleet.Stop(ctx, n)
 	case "restart":
+		delete(s.down, n)
 		return s.fleet.Restart(n)
 	case "wipe":
 		return s.fleet.Wipe(n)
@@ -292,7 +326,8 @@
 }
 
 // expect: expect runs ORDER N | expect outcome OUTCOME | expect fresh | expect lossless | expect newest|current HOST |
-// expect idle|busy UPSTREAM... | expect role HOST ROLE
+// expect code CODE | expect crashes SERVICE N | expect unused UPSTREAM | expect fenced |
+// expect settings|assignments|unchanged | expect idle|busy UPSTREAM... | expect role HOST ROLE
 func (s *scene) expect(ctx context.Context, _ *testscript.TestScript, args []string) error {
 	switch args[0] {
 	case "runs":
@@ -314,7 +349,16 @@
 		}
 		return nil
 	}
-	return s.expectOperated(ctx, args)
+	if err := s.expectOperated(ctx, args); !errors.Is(err, errUnknownStep) {
+		return err
+	}
+	return s.expectMore(ctx, args)
+}
+
+var errUnknownStep = errors.New("unknown expectation")
+
+func unknownStep(name string) error {
+	return fmt.Errorf("%w %q", errUnknownStep, name)
 }
 
 func (s *scene) expectRuns(order string, want int) error {
