Compare the admission policies on real processes

The baseline lives in the load tool and sends to the stand-ins directly: a policy in the daemon would have been larger and could be configured by mistake.

--- a/internal/cmds/load.go
+++ b/internal/cmds/load.go
@@ -19,9 +19,9 @@
 )
 
 type loadCmd struct {
-	Plan   string   `default:"kovacic" help:"Built-in plan kovacic or cascade, or a JSON file."`
+	Plan   string   `default:"kovacic" help:"Built-in plan kovacic, cascade or policies, or a JSON file."`
 	Seed   uint64   `default:"1" help:"Seed of the arrivals and faults."`
-	Policy []string `default:"local" help:"Admission policies to compare, each on a fleet of its own on loopback."`
+	Policy []string `default:"local" help:"Admission policies to compare, each on its own fleet; naive is for comparison only."`
 	Target []string `help:"Caller addresses of running hosts on loopback, instead of a fleet."`
 	JSON   string   `name:"json" type:"path" help:"File for the results."`
 	Plot   string   `type:"path" help:"File for an SVG plot of latency and goodput over time."`
@@ -64,7 +64,7 @@
 	}
 	var rs []load.Result
 	for _, p := range c.Policy {
-		if !slices.Contains(config.Policies, config.Policy(p)) {
+		if p != load.PolicyNaive && !slices.Contains(config.Policies, config.Policy(p)) {
 			rs = append(rs, load.Result{Plan: o.Plan.Name, Policy: p, Seed: o.Seed, Note: "not run: this daemon has no such policy"})
 			continue
 		}
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -48,6 +48,8 @@
 // Client sends requests to entry hosts. It is safe for concurrent use.
 type Client struct {
 	http *http.Client
+	// direct is set for sends to stand-ins, whose complete answers carry no outcome.
+	direct bool
 }
 
 const (
@@ -98,6 +100,9 @@
 		Outcome: proto.Outcome(resp.Header.Get(proto.HeaderOutcome)), Status: resp.StatusCode,
 		Upstream: resp.Header.Get(proto.HeaderUpstream),
 	}
+	if c.direct && r.Outcome == "" && r.Status == http.StatusOK {
+		r.Outcome = proto.OutcomeDone
+	}
 	var e proto.Error
 	if r.Outcome != proto.OutcomeDone && json.Unmarshal(body, &e) == nil {
 		r.Code = e.Code
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -71,7 +71,7 @@
 		_, err = load.ReadPlan(name)
 		is.Equal(err == nil, i == 0) // only the unchanged plan is accepted
 	}
-	for _, name := range []string{"kovacic", "cascade"} {
+	for _, name := range []string{"kovacic", "cascade", "policies"} {
 		p, err := load.ReadPlan(name)
 		is.NoErr(err)
 		b, err := json.Marshal(p)
--- /dev/null
+++ b/internal/load/naive.go
@@ -0,0 +1,105 @@
+package load
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"baobabreach/internal/fleet"
+	"baobabreach/pkg/proto"
+)
+
+// PolicyNaive is a baseline for comparison only, which no daemon offers: the load tool takes the place of the entry
+// hosts and sends to the stand-ins directly, so that no time or processor goes into a hop through a daemon.
+const PolicyNaive = "naive"
+
+const (
+	// naiveTries is one send and three retries. As in internal/bench, a choice of an upstream whose slots this host
+	// uses up counts as a try and costs naivePause.
+	naiveTries = 4
+	naivePause = time.Millisecond
+)
+
+// naive picks an upstream at random by the counts of one host only and retries without looking.
+type naive struct {
+	client    *Client
+	upstreams map[string][]fleet.Upstream
+	slots     map[string]int
+
+	mu     sync.Mutex
+	random *rand.Rand
+	inUse  map[naiveUse]int
+}
+
+type naiveUse struct {
+	host     int
+	upstream string
+}
+
+func newNaive(p Plan, f *fleet.Fleet, seed uint64) *naive {
+	n := &naive{
+		client: NewClient(), upstreams: map[string][]fleet.Upstream{}, slots: map[string]int{},
+		random: rand.New(rand.NewPCG(seed, 0)), inUse: map[naiveUse]int{},
+	}
+	n.client.direct = true
+	for _, u := range f.Upstreams {
+		n.upstreams[u.Service] = append(n.upstreams[u.Service], u)
+	}
+	for _, s := range p.Services {
+		n.slots[s.Name] = s.Slots
+	}
+	return n
+}
+
+// send returns the last reply, and unknown rather than not_run if any try was unknown.
+func (n *naive) send(ctx context.Context, a Arrival, idempotent bool) Reply {
+	last, unknown := Reply{Outcome: proto.OutcomeNotRun}, false
+	end := time.Now().Add(a.Request.Deadline)
+	for range naiveTries {
+		left := time.Until(end)
+		if left <= 0 || ctx.Err() != nil {
+			break
+		}
+		u, ok := n.take(a.Host, a.Request.Service)
+		if !ok {
+			time.Sleep(naivePause)
+			continue
+		}
+		q := a.Request
+		q.Deadline = left
+		last = n.client.Send(ctx, u.Address, q)
+		n.giveBack(a.Host, u.Name)
+		if last.Outcome == proto.OutcomeDone {
+			return last
+		}
+		unknown = unknown || last.Outcome == proto.OutcomeUnknown
+		if !idempotent {
+			break
+		}
+	}
+	if unknown {
+		last.Outcome = proto.OutcomeUnknown
+	}
+	return last
+}
+
+// take returns false if the host itself uses all slots of the chosen upstream.
+func (n *naive) take(host int, service string) (fleet.Upstream, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	us := n.upstreams[service]
+	u := us[n.random.IntN(len(us))]
+	k := naiveUse{host: host, upstream: u.Name}
+	if n.inUse[k] >= n.slots[service] {
+		return u, false
+	}
+	n.inUse[k]++
+	return u, true
+}
+
+func (n *naive) giveBack(host int, upstream string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.inUse[naiveUse{host: host, upstream: upstream}]--
+}
--- a/internal/load/plan.go
+++ b/internal/load/plan.go
@@ -74,7 +74,7 @@
 	}
 	f, err := os.Open(name)
 	if err != nil {
-		return Plan{}, errors.Wrap(err, "no built-in plan kovacic or cascade, and no file")
+		return Plan{}, errors.Wrap(err, "no built-in plan kovacic, cascade or policies, and no file")
 	}
 	defer func() { _ = f.Close() }()
 	d := json.NewDecoder(f)
@@ -135,13 +135,18 @@
 func ms(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
 func (p Plan) fleet(binaries, policy string) fleet.Config {
+	direct := policy == PolicyNaive
+	if direct {
+		policy = ""
+	}
 	c := fleet.Config{
 		Binaries: binaries, Centres: []string{"a", "b", "c"}, HostsPerCentre: p.HostsPerCentre, Policy: policy,
 		BalancerDelay: time.Second,
 	}
 	for _, s := range p.Services {
 		c.Services = append(c.Services, fleet.Service{
-			Name: s.Name, Keyed: s.Keyed, Idempotent: s.Idempotent, Class: s.Class, Ranges: rangesPerUpstream * s.Upstreams,
+			Name: s.Name, Keyed: s.Keyed && !direct, Idempotent: s.Idempotent, Class: s.Class,
+			Ranges:   rangesPerUpstream * s.Upstreams,
 			Deadline: ms(s.DeadlineMs), Upstreams: s.Upstreams, Slots: s.Slots, ServiceTime: ms(s.ServiceMs),
 		})
 	}
@@ -163,8 +168,33 @@
 	}
 }
 
-// builtIn returns the plans of the two deployments with the numbers of upstreams of their present scale. Service
-// times and rates are assumptions, chosen so that the crest takes most of the slots and one machine can carry it.
+// policies returns the plan that compares the admission policies. The rates are shares of the slot time that the work
+// takes with its stragglers: 15.8 ms in the mean. Two upstreams per service are what one busy machine of 10 cores
+// carries with 12 hosts; with three the processor was the limit.
+func policies() Plan {
+	s := Service{
+		Idempotent: true, Class: "short", Upstreams: 2, Slots: 3, ServiceMs: 10, DeadlineMs: 1000, Rate: 190,
+	}
+	keyed := s
+	keyed.Name, keyed.Keyed, keyed.Keys = "catalogue", true, 5000
+	s.Name = "prices"
+	p := Plan{Name: "policies", HostsPerCentre: 4, Services: []Service{keyed, s}, Phases: []Phase{
+		{Name: "steady_50", Seconds: 1, RateFactor: 1},
+		{Name: "load_90", Seconds: 2, RateFactor: 1.8},
+		{Name: "load_110", Seconds: 2, RateFactor: 2.2},
+		{Name: "before_50", Seconds: 1, RateFactor: 1},
+		{Name: "crest_150", Seconds: 2, RateFactor: 3},
+		{Name: "after_50", Seconds: 2, RateFactor: 1},
+	}}
+	for i := range p.Phases {
+		p.Phases[i].StragglerShare, p.Phases[i].StragglerFactor = 0.02, 30
+	}
+	return p
+}
+
+// builtIn returns the plan policies, and the plans of the two deployments with the numbers of upstreams of their
+// present scale. The service times and rates of the latter are assumptions, chosen so that the crest takes most of the
+// slots and one machine can carry it.
 func builtIn() map[string]Plan {
 	keyed := Service{
 		Keyed: true, Idempotent: true, Class: "short", Upstreams: 13, Slots: 3, ServiceMs: 20, LongShare: 0.02,
@@ -179,6 +209,7 @@
 		return s
 	}
 	return map[string]Plan{
+		"policies": policies(),
 		"kovacic": {
 			Name: "kovacic", HostsPerCentre: 4, Tenants: []string{"boutiques", "stylists"}, Phases: phases(),
 			Services: []Service{named(keyed, "catalogue", 13), named(once, "orders", 10), named(long, "care_sheets", 13)},
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -80,6 +80,8 @@
 	sent    bool
 	latency time.Duration
 	outcome proto.Outcome
+	// service is the time of the last execution by the stand-ins' records; 0 if nothing is known.
+	service time.Duration
 }
 
 // run is one run of a schedule.
@@ -90,7 +92,9 @@
 	hosts    []string
 	client   *Client
 	// fleet is nil for a run against given hosts.
-	fleet    *fleet.Fleet
+	fleet *fleet.Fleet
+	// naive replaces the hosts with PolicyNaive, and is nil otherwise.
+	naive    *naive
 	seed     uint64
 	progress io.Writer
 	began    time.Time
@@ -145,6 +149,10 @@
 
 // sendOne tries the next host where nothing listens, as a load balancer would; nothing else is resent.
 func (r *run) sendOne(ctx context.Context, a Arrival) sample {
+	if r.naive != nil {
+		reply := r.naive.send(ctx, a, r.plan.Services[a.Service].Idempotent)
+		return sample{sent: true, latency: time.Since(r.began.Add(a.At)), outcome: reply.Outcome}
+	}
 	var reply Reply
 	for i := range r.hosts {
 		reply = r.client.Send(ctx, r.hosts[(a.Host+i)%len(r.hosts)], a.Request)
@@ -230,6 +238,9 @@
 		hosts = append(hosts, h.Caller)
 	}
 	r := newRun(o, hosts, f)
+	if policy == PolicyNaive {
+		r.naive = newNaive(o.Plan, f, o.Seed)
+	}
 	if err := r.send(ctx); err != nil {
 		return Result{}, err
 	}
