Keep executions of 0 ms in the latencies over service time

A sample whose execution took 0 ms was taken for one without a record, so plans with stand-ins of 0 ms reported 0.0 ms over service for every request. Seen with trial plans of orders and GETs at 0 ms.

--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -87,7 +87,7 @@
 	case s.outcome == proto.OutcomeDone:
 		t.Answered++
 		_ = t.latency.RecordValue(min(s.latency.Microseconds(), highestMicros))
-		if short && s.service > 0 {
+		if short && s.ran {
 			_ = t.over.RecordValue(min(s.over().Microseconds(), highestMicros))
 		}
 		if s.latency <= deadline {
@@ -157,7 +157,8 @@
 		}
 	}
 	for i, a := range r.arrivals {
-		r.samples[i].service = time.Duration(last[a.Request.ID].ServiceNs)
+		x, ok := last[a.Request.ID]
+		r.samples[i].ran, r.samples[i].service = ok, time.Duration(x.ServiceNs)
 	}
 }
 
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -80,7 +80,8 @@
 	sent    bool
 	latency time.Duration
 	outcome proto.Outcome
-	// service is the time of the last execution by the stand-ins' records; 0 if nothing is known.
+	// ran tells that the stand-ins' records hold an execution; service is the time that the last one took.
+	ran     bool
 	service time.Duration
 }
 
