Give the commit benchmark a wall clock

BenchmarkPropose ended with a nil pointer since proposals of claims and abandons are stamped with the leader's wall clock; its configuration had none.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -29,7 +29,7 @@
 			n, err := node.New(node.Config{
 				Self: self, Store: s, Loaded: l, Members: raft.Members{Voters: []raft.Member{self}}, Random: rand.Int64N,
 				Clock: func() time.Duration { return time.Since(begin) }, Log: slog.New(slog.DiscardHandler),
-				Send: func(raft.Member, []raft.Message) {},
+				Send: func(raft.Member, []raft.Message) {}, WallMs: func() int64 { return begin.UnixMilli() },
 			})
 			is.NoErr(err)
 			ctx, cancel := context.WithCancel(context.Background())
