Claim a block of ports for the daemon tests

The tests of internal/daemon used fixed ports from 25000. Each process now claims one of seven blocks.

--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -30,10 +31,33 @@
 	keyCount   = 40
 	// patience bounds every wait for a condition; no test asserts that something took less.
 	patience = 30 * time.Second
-	// basePort lies below the range from which the kernel picks local ports.
-	basePort = 25000
+	// The blocks of ports lie below the range from which the kernel picks local ports.
+	firstBlock, blockCount, blockPorts = 25000, 7, 1000
 )
 
+// blockLock keeps the listener of the claimed block referenced; a collected listener would be closed.
+var blockLock net.Listener
+
+// basePort claims a block by listening on its last port for the life of the process, so that runs of these tests in
+// several work trees at once don't use the same ports.
+var basePort = sync.OnceValue(func() int {
+	for i := range blockCount {
+		first := firstBlock + (os.Getpid()+i)%blockCount*blockPorts
+		lock, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first+blockPorts-1))
+		if err != nil {
+			continue
+		}
+		// A control address in use means a run that claims no block.
+		if l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first+1)); err == nil {
+			_ = l.Close()
+			blockLock = lock
+			return first
+		}
+		_ = lock.Close()
+	}
+	panic("no block of ports is free")
+})
+
 // fleet is a fleet of daemons and stand-in upstreams in one process, over loopback and a network that can be cut.
 type fleet struct {
 	t       *testing.T
@@ -62,9 +86,9 @@
 	}
 	for i, dc := range dataCentres {
 		for n := range 2 {
-			f.startUpstream(ctx, fmt.Sprintf("cat-%s%d", dc, n), dc, "catalogue", basePort+500+i*10+n)
+			f.startUpstream(ctx, fmt.Sprintf("cat-%s%d", dc, n), dc, "catalogue", basePort()+500+i*10+n)
 		}
-		f.startUpstream(ctx, "ord-"+dc, dc, "orders", basePort+600+i)
+		f.startUpstream(ctx, "ord-"+dc, dc, "orders", basePort()+600+i)
 	}
 	f.wait.Add(1)
 	go f.watchOwners(ctx)
@@ -97,7 +121,7 @@
 }
 
 func address(dc, host, part int) string {
-	return fmt.Sprintf("127.0.0.1:%d", basePort+dc*100+host*10+part)
+	return fmt.Sprintf("127.0.0.1:%d", basePort()+dc*100+host*10+part)
 }
 
 func (f *fleet) startUpstream(ctx context.Context, name, dc, service string, port int) {
