--- a/internal/fleet/query.go
+++ b/internal/fleet/query.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"os"
 	"slices"
@@ -83,9 +82,15 @@
 	return nil
 }
 
+// Ownership is the owner of a range and the epoch of its assignment.
+type Ownership struct {
+	Upstream string
+	Epoch    uint64
+}
+
 // Fences maps every granted range to its owner and epoch, as the running upstreams tell.
-func (f *Fleet) Fences(ctx context.Context) (map[uint64]string, error) {
-	out := map[uint64]string{}
+func (f *Fleet) Fences(ctx context.Context) (map[uint64]Ownership, error) {
+	out := map[uint64]Ownership{}
 	for _, u := range f.Upstreams {
 		if !f.service(u.Service).Keyed || !f.Running(u.Name) {
 			continue
@@ -95,7 +100,7 @@
 			return nil, err
 		}
 		for r, e := range st.Epochs {
-			out[r] = fmt.Sprintf("%s epoch %d", u.Name, e)
+			out[r] = Ownership{Upstream: u.Name, Epoch: e}
 		}
 	}
 	return out, nil
