Refuse orders at once on a cut-off host and lock the data folder

An order at a host without a routing lease waited for its whole deadline before it was refused; a lease outlives an election, so such a host is cut off and its caller should go elsewhere.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -182,6 +182,20 @@
 	}
 }
 
+// Guards against an order that waits for its whole deadline at a host that is cut off from the leader.
+func TestHostWithoutLeaseRefusesOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(t, false, func(_ int64, r *http.Request, c net.Conn) { answer(c, 200, id(r), "ok") })
+		time.Sleep(2 * time.Hour) // the lease of the bench lasts for one
+		_, e := b.call(http.MethodPost, "/s/free/x", "order")
+		is.Equal(e.Code, proto.CodeNoLease)
+		is.Equal(e.Outcome, proto.OutcomeNotRun)
+		is.Equal(b.claims.Load(), int64(0))
+		is.Equal(b.sends.Load(), int64(0))
+	})
+}
+
 // Guards against a truncated, late or crossed answer that reaches a caller as the answer to its own request.
 func TestMisbehavingUpstream(t *testing.T) {
 	for name, first := range map[string]func(r *http.Request, c net.Conn){
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -193,6 +193,11 @@
 
 // runOnce claims the request before the only send.
 func (s *Server) runOnce(ctx context.Context, q *Request) (*Answer, *proto.Error) {
+	// A lease outlives an election, so a host without one is cut off. Its caller should try another host at once.
+	if !s.cfg.View.Leased(s.cfg.Clock()) {
+		return nil, proto.NotRun(proto.CodeNoLease, http.StatusServiceUnavailable,
+			"host %s holds no routing lease, so the request can't be claimed", s.cfg.Host)
+	}
 	holder := s.newHolder()
 	r, err := s.cfg.Propose(ctx, state.Command{Claim: &state.Claim{
 		ID: q.ID, Fingerprint: q.Fingerprint, Holder: holder,
--- /dev/null
+++ b/internal/store/lock.go
@@ -0,0 +1,28 @@
+package store
+
+import (
+	"os"
+	"path/filepath"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/sys/unix"
+)
+
+// ErrLocked means that another process has the data folder open.
+var ErrLocked = errors.New("data folder is in use by another process")
+
+const lockName = "lock"
+
+// lockFolder keeps a second process out of the data folder: two replicas with one identity could vote twice. The
+// kernel drops the lock with the process.
+func lockFolder(dir string) (*os.File, error) {
+	f, err := os.OpenFile(filepath.Join(dir, lockName), os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return nil, errors.Wrap(err, "open lock file")
+	}
+	if err := unix.Flock(int(f.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
+		_ = f.Close()
+		return nil, errors.Wrapf(ErrLocked, "%v", err)
+	}
+	return f, nil
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -57,6 +57,8 @@
 	files Files
 	id    string
 	file  *os.File
+	// lock is held while the store is open.
+	lock *os.File
 	// failed is the first error of a write. Nothing is written after it: a failed sync may have dropped pages that
 	// a second sync would report as written, and a record after a partial one could not be read.
 	failed error
@@ -83,9 +85,14 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, Loaded{}, errors.Wrap(err, "create data folder")
 	}
-	s := &Store{dir: dir, files: files}
+	lock, err := lockFolder(dir)
+	if err != nil {
+		return nil, Loaded{}, errors.Wrapf(err, "lock %s", dir)
+	}
+	s := &Store{dir: dir, files: files, lock: lock}
 	l, err := s.load()
 	if err != nil {
+		_ = lock.Close()
 		return nil, Loaded{}, errors.Wrapf(err, "load %s", dir)
 	}
 	return s, l, nil
@@ -122,7 +129,9 @@
 
 // Close closes the log.
 func (s *Store) Close() error {
-	return errs.Wrap(s.file.Close(), "close log")
+	err := s.file.Close()
+	_ = s.lock.Close()
+	return errs.Wrap(err, "close log")
 }
 
 func (s *Store) guard(write func() error) error {
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -124,6 +124,7 @@
 			failing.Store(false)
 			is.True(s.Save(nil, []raft.Entry{entry(4)}) != nil) // the store stays stopped
 			is.True(s.SaveIdentity(store.Identity{ID: "x"}) != nil)
+			is.NoErr(s.Close()) // as the end of the process would
 			_, l, err := store.Open(dir)
 			is.NoErr(err)
 			is.True(len(l.Log) >= 3) // what was acknowledged is still there
@@ -141,10 +142,12 @@
 		s, _, err := store.Open(dir)
 		is.NoErr(err)
 		is.NoErr(s.SaveSnapshot(raft.Snapshot{Index: 2, Term: term}, raft.HardState{Term: 3}, nil))
+		is.NoErr(s.Close())
 		is.NoErr(os.WriteFile(filepath.Join(dir, "log"), old, 0o600))
-		_, l, err := store.Open(dir)
+		s, l, err := store.Open(dir)
 		is.NoErr(err)
 		is.Equal(len(l.Log), want)
+		is.NoErr(s.Close())
 		is.NoErr(os.Remove(filepath.Join(dir, "snapshot")))
 		_, _, err = store.Open(dir)
 		is.True(errors.Is(err, store.ErrCorrupt)) // a lost snapshot must not look like an empty state
@@ -170,3 +173,17 @@
 		})
 	}
 }
+
+// Guards against two processes that run one replica with one identity.
+func TestFolderIsLocked(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	first, _, err := store.Open(dir)
+	is.NoErr(err)
+	_, _, err = store.Open(dir)
+	is.True(errors.Is(err, store.ErrLocked))
+	is.NoErr(first.Close())
+	second, _, err := store.Open(dir)
+	is.NoErr(err)
+	is.NoErr(second.Close())
+}
