Move the admission between hosts out of the wiring

internal/daemon held 1,100 lines of it beside the fx wiring. It is a package of its own now, with a configuration structure; nothing else changed.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -11,6 +11,7 @@
 	"baobabreach/internal/peer"
 	"baobabreach/internal/poison"
 	"baobabreach/internal/raft"
+	"baobabreach/internal/slots"
 	"baobabreach/internal/state"
 	"baobabreach/pkg/proto"
 
@@ -27,7 +28,7 @@
 	token  string
 	// operate serves what other daemons ask on behalf of operators.
 	operate operate
-	slots   *slots
+	slots   *slots.Slots
 }
 
 func (c control) router() http.Handler {
@@ -42,7 +43,7 @@
 	m.Handle(peer.PathCrash, peer.Handle(peer.MaxBodyBytes, c.crash)).Methods(http.MethodPost)
 	m.Handle(peer.PathPermit, peer.Handle(peer.MaxBodyBytes, c.permit)).Methods(http.MethodPost)
 	c.operate.mountControl(m)
-	c.slots.routes(m)
+	c.slots.Mount(m)
 	m.NotFoundHandler = notFound()
 	m.MethodNotAllowedHandler = notFound()
 	return requireToken(c.token, m)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -27,6 +27,7 @@
 	"baobabreach/internal/raft"
 	"baobabreach/internal/retry"
 	"baobabreach/internal/route"
+	"baobabreach/internal/slots"
 	"baobabreach/internal/state"
 	"baobabreach/internal/store"
 
@@ -135,6 +136,7 @@
 const (
 	maxIdlePerHost        = 16
 	maxUpstreamConns      = 10
+	maxDispatchConns      = 256
 	idleConnectionTimeout = 30 * time.Second
 	dialTimeout           = 500 * time.Millisecond
 )
@@ -203,7 +205,7 @@
 
 func newEntry(
 	cfg config.Config, v *route.View, l *peer.LeaderClient, c clients, g *entry.Guard, m *metric.Registry,
-	ring *audit.Ring, now Clock, s *slots, lim *limit.Host, rp *retry.Policy, log *slog.Logger,
+	ring *audit.Ring, now Clock, s *slots.Slots, lim *limit.Host, rp *retry.Policy, log *slog.Logger,
 ) *entry.Server {
 	ec := entry.Config{
 		Host: cfg.Host, DataCentre: cfg.DataCentre, View: v, Clock: now, Guard: g, Client: c.upstream,
@@ -220,13 +222,35 @@
 			}
 			return rs[0], nil
 		},
-		Slots: s.acquire, Limit: lim.Take, Retry: rp, MaxHeaderBytes: cfg.MaxHeaderBytes,
+		Slots: s.Acquire, Limit: lim.Take, Retry: rp, MaxHeaderBytes: cfg.MaxHeaderBytes,
 	}
-	if cfg.Policy == policyRelay {
-		ec.Relay = s.relay
+	if s.Relays() {
+		ec.Relay = s.Relay
 	}
-	s.server = entry.New(ec)
-	return s.server
+	server := entry.New(ec)
+	s.SetServer(server)
+	return server
+}
+
+func newSlots(cfg config.Config, v *route.View, now Clock, t tokens, c clients) *slots.Slots {
+	return slots.New(slots.Config{
+		Host: cfg.Host, DataCentre: cfg.DataCentre, Policy: cfg.Policy, View: v, Clock: now, Client: c.dispatch,
+		Token: t.control, MaxAnswerBytes: cfg.MaxAnswerBytes,
+	})
+}
+
+func startSlots(lc fx.Lifecycle, s *slots.Slots) {
+	ctx, cancel := context.WithCancel(context.Background())
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go s.Run(ctx)
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			cancel()
+			return nil
+		},
+	})
 }
 
 func startRenewer(lc fx.Lifecycle, r *renewer) {
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -16,6 +16,7 @@
 	"baobabreach/internal/metric"
 	"baobabreach/internal/peer"
 	"baobabreach/internal/route"
+	"baobabreach/internal/slots"
 	"baobabreach/pkg/proto"
 
 	"github.com/go-faster/errors"
@@ -52,7 +53,7 @@
 	Tokens  tokens
 	Clients clients
 	Audit   *audit.Ring
-	Slots   *slots
+	Slots   *slots.Slots
 }
 
 // servers are the HTTP servers of the three addresses.
--- a/internal/daemon/dispatch.go
+++ b/internal/slots/dispatch.go
@@ -1,4 +1,4 @@
-package daemon
+package slots
 
 import (
 	"context"
@@ -42,7 +42,7 @@
 // Lock order: dispatcher, then runningPool.
 type dispatcher struct {
 	view  *route.View
-	clock Clock
+	clock func() time.Duration
 	cfg   admit.Config
 
 	mu    sync.Mutex
@@ -52,7 +52,7 @@
 // runningPool drives one queue: it delivers effects and ticks the queue when it asks for it.
 type runningPool struct {
 	id    poolID
-	clock Clock
+	clock func() time.Duration
 
 	mu    sync.Mutex
 	queue *admit.Queue
@@ -63,7 +63,7 @@
 	armed time.Duration
 }
 
-func newDispatcher(v *route.View, clock Clock, cfg admit.Config) *dispatcher {
+func newDispatcher(v *route.View, clock func() time.Duration, cfg admit.Config) *dispatcher {
 	return &dispatcher{view: v, clock: clock, cfg: cfg, pools: map[poolID]*runningPool{}}
 }
 
--- a/internal/daemon/export_test.go
+++ b/internal/slots/export_test.go
@@ -1,9 +1,10 @@
-package daemon
+package slots
 
 import (
 	"context"
 	"net"
 	"net/http"
+	"time"
 
 	"baobabreach/internal/admit"
 	"baobabreach/internal/config"
@@ -19,38 +20,40 @@
 
 // TestHost is the admission of one host with its control routes, connected by dial.
 type TestHost struct {
-	slots   *slots
+	slots   *Slots
 	Control http.Handler
 }
 
 // NewTestHost returns a host whose clients dial with dial.
 func NewTestHost(
-	name string, policy config.Policy, v *route.View, clock Clock,
+	name string, policy config.Policy, v *route.View, clock func() time.Duration,
 	dial func(ctx context.Context, network, address string) (net.Conn, error),
 ) *TestHost {
-	s := newSlots(config.Config{Host: name, DataCentre: "a", Policy: policy, MaxAnswerBytes: 1000}, v, clock, tokens{},
-		newClients(dial, metric.New()))
+	s := New(Config{
+		Host: name, DataCentre: "a", Policy: policy, View: v, Clock: clock, MaxAnswerBytes: 1000,
+		Client: &http.Client{Transport: &http.Transport{DialContext: dial, DisableCompression: true}},
+	})
 	c := &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}
-	s.server = entry.New(entry.Config{
+	s.SetServer(entry.New(entry.Config{
 		Host: name, View: v, Clock: clock, Client: c, Metrics: metric.New(), Retry: retry.NewPolicy(), MaxAnswerBytes: 1000,
-	})
+	}))
 	m := mux.NewRouter()
-	s.routes(m)
+	s.Mount(m)
 	return &TestHost{slots: s, Control: m}
 }
 
 // Acquire waits for a slot.
 func (h *TestHost) Acquire(ctx context.Context, t entry.Ticket) (model.Upstream, func(admit.Result), *proto.Error) {
-	return h.slots.acquire(ctx, t)
+	return h.slots.Acquire(ctx, t)
 }
 
 // Relay forwards a request through the dispatcher.
 func (h *TestHost) Relay(ctx context.Context, t entry.Ticket) (*entry.Answer, *proto.Error) {
-	return h.slots.relay(ctx, t, route.Target{})
+	return h.slots.Relay(ctx, t, route.Target{})
 }
 
 // Run maintains the credits until ctx ends.
-func (h *TestHost) Run(ctx context.Context) { every(ctx, keepInterval, h.slots.maintain) }
+func (h *TestHost) Run(ctx context.Context) { h.slots.Run(ctx) }
 
 // Close ends idle connections.
 func (h *TestHost) Close() { h.slots.client.CloseIdleConnections() }
--- a/internal/daemon/relay.go
+++ b/internal/slots/relay.go
@@ -1,4 +1,4 @@
-package daemon
+package slots
 
 import (
 	"bytes"
@@ -49,8 +49,8 @@
 	Answer entry.Answer `json:"answer"`
 }
 
-// relay implements entry.Config.Relay.
-func (s *slots) relay(ctx context.Context, t entry.Ticket, to route.Target) (*entry.Answer, *proto.Error) {
+// Relay implements entry.Config.Relay.
+func (s *Slots) Relay(ctx context.Context, t entry.Ticket, to route.Target) (*entry.Answer, *proto.Error) {
 	var answer *entry.Answer
 	err := s.eachPool(ctx, t, func(id poolID, a admit.Ask) *proto.Error {
 		for _, d := range s.dispatchers(id) {
@@ -70,7 +70,7 @@
 	return answer, err
 }
 
-func (s *slots) leased(v model.Service) func() bool {
+func (s *Slots) leased(v model.Service) func() bool {
 	if !v.Keyed {
 		return nil
 	}
@@ -78,7 +78,7 @@
 }
 
 // forwardHere takes the slot from this host's own queue and forwards the request.
-func (s *slots) forwardHere(
+func (s *Slots) forwardHere(
 	ctx context.Context, id poolID, a admit.Ask, t entry.Ticket, to route.Target, mayForward func() bool,
 ) (*entry.Answer, *proto.Error) {
 	acquire := func(ctx context.Context, t entry.Ticket) (model.Upstream, func(admit.Result), *proto.Error) {
@@ -105,7 +105,7 @@
 }
 
 // relayTo sends the request to a dispatcher. It returns false if certainly nothing reached it.
-func (s *slots) relayTo(
+func (s *Slots) relayTo(
 	ctx context.Context, address string, id poolID, a admit.Ask, t entry.Ticket, to route.Target,
 ) (*entry.Answer, *proto.Error, bool) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -162,7 +162,7 @@
 }
 
 // post sends one frame. wrote tells whether a byte of it may have reached the other side.
-func (s *slots) post(ctx context.Context, address string, head relayHead, body []byte) (int, []byte, bool, error) {
+func (s *Slots) post(ctx context.Context, address string, head relayHead, body []byte) (int, []byte, bool, error) {
 	var wrote atomic.Bool
 	trace := &httptrace.ClientTrace{WroteHeaderField: func(string, []string) { wrote.Store(true) }}
 	frame, err := makeFrame(head, body)
@@ -218,7 +218,7 @@
 }
 
 // serveRelay forwards a request of another entry host.
-func (s *slots) serveRelay(w http.ResponseWriter, r *http.Request) {
+func (s *Slots) serveRelay(w http.ResponseWriter, r *http.Request) {
 	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRelayBody+maxFrameHead))
 	if err != nil {
 		peer.WriteError(w, proto.NotRun(proto.CodeBadRequest, http.StatusBadRequest, "frame can't be read: %v", err))
@@ -249,7 +249,7 @@
 }
 
 // forwardRelayed checks the route by this host's own table and lease, as the entry host's may be older.
-func (s *slots) forwardRelayed(ctx context.Context, h relayHead) (*entry.Answer, *proto.Error) {
+func (s *Slots) forwardRelayed(ctx context.Context, h relayHead) (*entry.Answer, *proto.Error) {
 	now := s.clock()
 	a := admit.Ask{
 		ID: s.newID(), Holder: s.host, Class: h.Request.Class, MaxWait: time.Duration(h.MaxWaitUs) * time.Microsecond,
--- a/internal/daemon/slots.go
+++ b/internal/slots/slots.go
@@ -1,4 +1,6 @@
-package daemon
+// Package slots shares the slots of the upstreams between the entry hosts. Each host queues for the pools it is the
+// dispatcher of and asks the dispatchers of the other pools; package admit decides, this package carries the messages.
+package slots
 
 import (
 	"cmp"
@@ -22,7 +24,6 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/gorilla/mux"
-	"go.uber.org/fx"
 )
 
 // The admission policies.
@@ -59,9 +60,8 @@
 	lostAfter      = time.Second
 	maxDispatchers = 3
 	// maxPerPool bounds the requests of one pool on one host, so that a slow upstream doesn't fill its memory.
-	maxPerPool       = 1024
-	maxDispatchConns = 256
-	forever          = 365 * 24 * time.Hour
+	maxPerPool = 1024
+	forever    = 365 * 24 * time.Hour
 )
 
 type acquireQuery struct {
@@ -109,13 +109,13 @@
 	cancel  context.CancelFunc
 }
 
-// slots is the admission of an entry host and, for the pools it is chosen for, of the others. Safe for concurrent use.
-type slots struct {
+// Slots is the admission of an entry host and, for the pools it is chosen for, of the others. Safe for concurrent use.
+type Slots struct {
 	host       string
 	dataCentre string
 	policy     config.Policy
 	view       *route.View
-	clock      Clock
+	clock      func() time.Duration
 	local      *dispatcher
 	client     *http.Client
 	token      string
@@ -140,7 +140,23 @@
 	at time.Duration
 }
 
-func newSlots(cfg config.Config, v *route.View, clock Clock, t tokens, c clients) *slots {
+// Config configures Slots.
+type Config struct {
+	Host       string
+	DataCentre string
+	Policy     config.Policy
+	View       *route.View
+	// Clock is the time since any fixed moment.
+	Clock func() time.Duration
+	// Client carries credits and relayed requests, which may be many and large. Token goes with each message.
+	Client *http.Client
+	Token  string
+	// MaxAnswerBytes bounds the answer to a relayed request.
+	MaxAnswerBytes int64
+}
+
+// New returns the admission of one host. SetServer must be called before the first request.
+func New(cfg Config) *Slots {
 	var b [6]byte
 	_, _ = rand.Read(b[:])
 	queue := admit.Config{Seed: xxhash.Sum64String(cfg.Host)}
@@ -148,38 +164,37 @@
 		// The holder is this process, so its credits can't outlive it.
 		queue.CreditTTL = forever
 	}
-	return &slots{
-		host: cfg.Host, dataCentre: cfg.DataCentre, policy: cfg.Policy, view: v, clock: clock,
-		local: newDispatcher(v, clock, queue), token: t.control, maxAnswer: cfg.MaxAnswerBytes,
-		client: c.dispatch, nonce: hex.EncodeToString(b[:]), suspects: map[string]time.Duration{}, holdings: map[string]holding{},
-		unsent: map[string][]settled{}, perPool: map[poolID]int{}, seen: map[string]seenDaemon{},
+	return &Slots{
+		host: cfg.Host, dataCentre: cfg.DataCentre, policy: cfg.Policy, view: cfg.View, clock: cfg.Clock,
+		local: newDispatcher(cfg.View, cfg.Clock, queue), token: cfg.Token, maxAnswer: cfg.MaxAnswerBytes,
+		client: cfg.Client, nonce: hex.EncodeToString(b[:]), suspects: map[string]time.Duration{},
+		holdings: map[string]holding{}, unsent: map[string][]settled{}, perPool: map[poolID]int{},
+		seen: map[string]seenDaemon{},
 	}
 }
 
-func (s *slots) routes(m *mux.Router) {
+// SetServer names the server that forwards relayed requests.
+func (s *Slots) SetServer(server *entry.Server) { s.server = server }
+
+// Mount adds the routes between the hosts to the router of the control address.
+func (s *Slots) Mount(m *mux.Router) {
 	m.Handle(pathAcquire, peer.Handle(peer.MaxBodyBytes, s.serveAcquire)).Methods(http.MethodPost)
 	m.Handle(pathSettle, peer.Handle(peer.MaxBodyBytes, s.serveSettle)).Methods(http.MethodPost)
 	m.Handle(pathCounts, peer.Handle(peer.MaxBodyBytes, s.serveCounts)).Methods(http.MethodPost)
 	m.HandleFunc(pathRelay, s.serveRelay).Methods(http.MethodPost)
 }
 
-func startSlots(lc fx.Lifecycle, s *slots) {
-	ctx, cancel := context.WithCancel(context.Background())
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			go every(ctx, keepInterval, s.maintain)
-			if s.policy == policyShared {
-				go every(ctx, sharedInterval, s.exchange)
-			}
-			return nil
-		},
-		OnStop: func(context.Context) error {
-			cancel()
-			return nil
-		},
-	})
+// Run keeps the credits of this host, and exchanges counts under the policy shared, until ctx ends.
+func (s *Slots) Run(ctx context.Context) {
+	if s.policy == policyShared {
+		go every(ctx, sharedInterval, s.exchange)
+	}
+	every(ctx, keepInterval, s.maintain)
 }
 
+// Relays tells whether the policy hands whole requests to the dispatchers.
+func (s *Slots) Relays() bool { return s.policy == policyRelay }
+
 func every(ctx context.Context, d time.Duration, f func(context.Context)) {
 	t := time.NewTicker(d)
 	defer t.Stop()
@@ -193,8 +208,8 @@
 	}
 }
 
-// acquire implements entry.Slots.
-func (s *slots) acquire(ctx context.Context, t entry.Ticket) (model.Upstream, func(admit.Result), *proto.Error) {
+// Acquire implements entry.Slots.
+func (s *Slots) Acquire(ctx context.Context, t entry.Ticket) (model.Upstream, func(admit.Result), *proto.Error) {
 	var u model.Upstream
 	var release func(admit.Result)
 	err := s.eachPool(ctx, t, func(id poolID, a admit.Ask) *proto.Error {
@@ -215,7 +230,7 @@
 
 // eachPool tries the pools of a request, the local data centre first. A pool of another data centre is tried when
 // those before it have no room soon; if none has, the request waits in the first.
-func (s *slots) eachPool(ctx context.Context, t entry.Ticket, try func(poolID, admit.Ask) *proto.Error) *proto.Error {
+func (s *Slots) eachPool(ctx context.Context, t entry.Ticket, try func(poolID, admit.Ask) *proto.Error) *proto.Error {
 	pools := s.pools(t)
 	now := s.clock()
 	deadline := now + forever
@@ -253,7 +268,7 @@
 }
 
 // pools returns the pools of the upstreams, the one of the local data centre first.
-func (s *slots) pools(t entry.Ticket) []poolID {
+func (s *Slots) pools(t entry.Ticket) []poolID {
 	var out []poolID
 	for _, u := range t.Upstreams {
 		id := poolID{Service: u.Service, DataCentre: u.DataCentre}
@@ -276,9 +291,9 @@
 	return out
 }
 
-func (s *slots) newID() string { return s.nonce + strconv.FormatUint(s.sequence.Add(1), 36) }
+func (s *Slots) newID() string { return s.nonce + strconv.FormatUint(s.sequence.Add(1), 36) }
 
-func (s *slots) enter(id poolID) bool {
+func (s *Slots) enter(id poolID) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.perPool[id] >= maxPerPool {
@@ -288,7 +303,7 @@
 	return true
 }
 
-func (s *slots) leave(id poolID) {
+func (s *Slots) leave(id poolID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.perPool[id]--; s.perPool[id] == 0 {
@@ -300,7 +315,7 @@
 func score(pool, host string) uint64 { return xxhash.Sum64String(pool + "\x00" + host) }
 
 // dispatchers returns the live daemons of the pool's data centre in rendezvous order, without suspects.
-func (s *slots) dispatchers(id poolID) []route.Daemon {
+func (s *Slots) dispatchers(id poolID) []route.Daemon {
 	now := s.clock()
 	var out []route.Daemon
 	s.mu.Lock()
@@ -316,14 +331,14 @@
 	return out[:min(len(out), maxDispatchers)]
 }
 
-func (s *slots) suspect(address string) {
+func (s *Slots) suspect(address string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.suspects[address] = s.clock() + suspectFor
 }
 
 // acquireFrom asks the dispatcher of a pool, the next in order if it can't be reached, and in the end this host.
-func (s *slots) acquireFrom(
+func (s *Slots) acquireFrom(
 	ctx context.Context, id poolID, a admit.Ask,
 ) (model.Upstream, func(admit.Result), *proto.Error) {
 	if s.policy == policyCredit {
@@ -348,7 +363,7 @@
 }
 
 // acquireRemote returns false if the dispatcher can't be reached. A credit that was granted meanwhile expires.
-func (s *slots) acquireRemote(
+func (s *Slots) acquireRemote(
 	ctx context.Context, address string, id poolID, a admit.Ask,
 ) (model.Upstream, *proto.Error, bool) {
 	for {
@@ -379,7 +394,7 @@
 }
 
 // releaser records the credit until the returned function gives it back.
-func (s *slots) releaser(address string, id poolID, a admit.Ask, u model.Upstream) func(admit.Result) {
+func (s *Slots) releaser(address string, id poolID, a admit.Ask, u model.Upstream) func(admit.Result) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.holdings[a.ID] = holding{
@@ -389,7 +404,7 @@
 	return func(r admit.Result) { s.release(a.ID, r) }
 }
 
-func (s *slots) release(id string, r admit.Result) {
+func (s *Slots) release(id string, r admit.Result) {
 	s.mu.Lock()
 	h, ok := s.holdings[id]
 	delete(s.holdings, id)
@@ -408,7 +423,7 @@
 	}
 }
 
-func (s *slots) takeUnsent(address string) []settled {
+func (s *Slots) takeUnsent(address string) []settled {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := s.unsent[address]
@@ -416,13 +431,13 @@
 	return out
 }
 
-func (s *slots) flush(address string) {
+func (s *Slots) flush(address string) {
 	if out := s.takeUnsent(address); len(out) > 0 {
 		s.settle(context.Background(), address, settleQuery{Settled: out})
 	}
 }
 
-func (s *slots) settle(ctx context.Context, address string, q settleQuery) {
+func (s *Slots) settle(ctx context.Context, address string, q settleQuery) {
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
 	if _, err := peer.Call[settleQuery, struct{}](ctx, s.client, "http://"+address+pathSettle, s.token, q); err != nil {
@@ -430,7 +445,7 @@
 	}
 }
 
-func (s *slots) serveAcquire(ctx context.Context, q acquireQuery) (acquireAnswer, error) {
+func (s *Slots) serveAcquire(ctx context.Context, q acquireQuery) (acquireAnswer, error) {
 	s.giveBack(q.Settled)
 	ctx, cancel := context.WithTimeout(ctx, acquireRound)
 	defer cancel()
@@ -447,19 +462,19 @@
 	return acquireAnswer{Upstream: u}, nil
 }
 
-func (s *slots) serveSettle(_ context.Context, q settleQuery) (struct{}, error) {
+func (s *Slots) serveSettle(_ context.Context, q settleQuery) (struct{}, error) {
 	s.giveBack(q.Settled)
 	s.keep(q.Kept)
 	return struct{}{}, nil
 }
 
-func (s *slots) giveBack(xs []settled) {
+func (s *Slots) giveBack(xs []settled) {
 	for _, x := range xs {
 		s.local.release(x.Pool, x.ID, x.Result)
 	}
 }
 
-func (s *slots) keep(ks []kept) {
+func (s *Slots) keep(ks []kept) {
 	byPool := map[poolID][]admit.Held{}
 	for _, k := range ks {
 		byPool[k.Pool] = append(byPool[k.Pool], k.Held)
@@ -469,12 +484,12 @@
 	}
 }
 
-func (s *slots) serveCounts(context.Context, struct{}) (countsAnswer, error) {
+func (s *Slots) serveCounts(context.Context, struct{}) (countsAnswer, error) {
 	return countsAnswer{InUse: s.local.inUse()}, nil
 }
 
 // maintain keeps the credits in use at the present dispatchers of their pools, and gives up on lost hosts.
-func (s *slots) maintain(ctx context.Context) {
+func (s *Slots) maintain(ctx context.Context) {
 	s.local.sweep()
 	s.noticeLost()
 	for address, ks := range s.credits() {
@@ -488,7 +503,7 @@
 
 // credits returns the credits in use per dispatcher. One whose dispatcher has changed moves to the new one, which
 // takes it over; it expires at the old one.
-func (s *slots) credits() map[string][]kept {
+func (s *Slots) credits() map[string][]kept {
 	out := map[string][]kept{}
 	if s.policy == policyLocal || s.policy == policyShared {
 		return out
@@ -520,14 +535,14 @@
 }
 
 // look notes the daemons of the view. The caller holds the lock.
-func (s *slots) look(now time.Duration) {
+func (s *Slots) look(now time.Duration) {
 	for _, d := range s.view.Daemons() {
 		s.seen[d.Host] = seenDaemon{Daemon: d, at: now}
 	}
 }
 
 // noticeLost takes back the credits of hosts that are no longer live and ends relayed requests to them.
-func (s *slots) noticeLost() {
+func (s *Slots) noticeLost() {
 	now := s.clock()
 	var lost []string
 	addresses := map[string]bool{}
@@ -560,7 +575,7 @@
 }
 
 // exchange asks the other hosts for their counts; a host that doesn't answer counts as using nothing.
-func (s *slots) exchange(ctx context.Context) {
+func (s *Slots) exchange(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, sharedInterval)
 	defer cancel()
 	var wg sync.WaitGroup
--- a/internal/daemon/slots_test.go
+++ b/internal/slots/slots_test.go
@@ -1,4 +1,4 @@
-package daemon_test
+package slots_test
 
 import (
 	"context"
@@ -16,10 +16,10 @@
 
 	"baobabreach/internal/admit"
 	"baobabreach/internal/config"
-	"baobabreach/internal/daemon"
 	"baobabreach/internal/entry"
 	"baobabreach/internal/model"
 	"baobabreach/internal/route"
+	"baobabreach/internal/slots"
 	"baobabreach/pkg/proto"
 )
 
@@ -28,10 +28,10 @@
 	mu    sync.Mutex
 	down  map[string]bool
 	pipes map[string]*pipes
-	hosts map[string]*daemon.TestHost
+	hosts map[string]*slots.TestHost
 	// lead is the first dispatcher of the pool, other a host that isn't.
 	lead  string
-	other *daemon.TestHost
+	other *slots.TestHost
 	runs  atomic.Int64
 	cut   atomic.Bool
 	// block holds the upstream's answers back until it is closed.
@@ -80,7 +80,7 @@
 }
 
 func newFleet(ctx context.Context, t *testing.T, policy config.Policy) *memoryFleet {
-	f := &memoryFleet{down: map[string]bool{}, pipes: map[string]*pipes{}, hosts: map[string]*daemon.TestHost{}}
+	f := &memoryFleet{down: map[string]bool{}, pipes: map[string]*pipes{}, hosts: map[string]*slots.TestHost{}}
 	view := route.NewView()
 	up := model.Upstream{Name: "u", Service: "free", DataCentre: "a", Address: "u:1", Slots: 1}
 	var ds []route.Daemon
@@ -94,7 +94,7 @@
 	start := time.Now()
 	clock := func() time.Duration { return time.Since(start) }
 	for _, d := range ds {
-		h := daemon.NewTestHost(d.Host, policy, view, clock, f.dial)
+		h := slots.NewTestHost(d.Host, policy, view, clock, f.dial)
 		f.hosts[d.Host] = h
 		f.serve(ctx, d.Control, h.Control)
 		go h.Run(ctx)
