Move the protocol towards upstreams into a package of its own

docs/PROTOCOL.md promises that another wire form is one adapter; the code that forwards a request and classifies the answer stood in internal/entry. It is internal/wire now. The end of the routing lease cancels a request to an upstream without grant checks on the host that sends it: under relay that is the dispatcher, which had only checked its lease before the send, so that a dispatcher cut off in the middle of a request could have kept the old owner busy.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -1,35 +1,21 @@
 package entry
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"io"
 	"net/http"
-	"net/http/httptrace"
-	"net/url"
-	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"baobabreach/internal/admit"
 	"baobabreach/internal/model"
 	"baobabreach/internal/retry"
 	"baobabreach/internal/route"
+	"baobabreach/internal/wire"
 	"baobabreach/pkg/proto"
 
 	"github.com/go-faster/errors"
 )
 
-// hopHeaders are not passed on in either direction.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Content-Length", "Authorization",
-	// net/http resends a request with one of these headers by itself after a connection error.
-	"Idempotency-Key", "X-Idempotency-Key",
-}
-
 // attempt waits for a target and a slot and forwards the request once.
 func (s *Server) attempt(ctx context.Context, q *Request) (*Answer, *proto.Error) {
 	if q.Service.Keyed {
@@ -60,14 +46,9 @@
 		if !ok {
 			continue
 		}
-		fctx, stop := ctx, func() {}
-		if !t.Upstream.ChecksGrants {
-			fctx, stop = s.whileLeased(ctx)
-		}
-		a, err := s.forwardTo(fctx, q, []model.Upstream{t.Upstream}, t, func() bool {
+		a, err := s.forwardTo(ctx, q, []model.Upstream{t.Upstream}, t, func() bool {
 			return s.cfg.View.Leased(s.cfg.Clock())
 		})
-		stop()
 		done()
 		return a, err
 	}
@@ -137,6 +118,11 @@
 		return nil, err
 	}
 	q := ticket.Request
+	if q.Service.Keyed && !t.Upstream.ChecksGrants {
+		var stop func()
+		ctx, stop = s.whileLeased(ctx)
+		defer stop()
+	}
 	delay, ok := s.cfg.Retry.HedgeDelay(q.Class)
 	if !ok || !q.Idempotent || q.Service.Keyed {
 		return s.sendAndRelease(ctx, q, u, t.Assignment, release, mayForward)
@@ -246,96 +232,14 @@
 
 // send forwards the request once and reads the whole answer.
 func (s *Server) send(ctx context.Context, q *Request, u model.Upstream, a model.Assignment) (*Answer, *proto.Error) {
-	var wrote atomic.Bool
-	var conn atomic.Pointer[httptrace.GotConnInfo]
-	trace := &httptrace.ClientTrace{
-		GotConn:          func(i httptrace.GotConnInfo) { conn.Store(&i) },
-		WroteHeaderField: func(string, []string) { wrote.Store(true) },
-	}
-	req, err := newUpstreamRequest(httptrace.WithClientTrace(ctx, trace), q, u, a, s.cfg.Host)
-	if err != nil {
-		return nil, proto.NotRun(proto.CodeInternal, http.StatusInternalServerError, "make request: %v", err)
-	}
-	resp, err := s.cfg.Client.Do(req)
-	if err != nil {
-		if !wrote.Load() {
-			return nil, proto.NotRun(proto.CodeUpstreamFailed, http.StatusBadGateway, "upstream %s can't be reached: %v", u.Name, err)
-		}
-		return nil, proto.Unknown(proto.CodeConnectionLost, "the connection to upstream %s broke: %v", u.Name, err)
-	}
-	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, s.cfg.MaxAnswerBytes+1))
+	w, err := s.wire.Send(ctx, u, wire.Request{
+		ID: q.ID, Method: q.Method, Path: q.Path, Query: q.Query, Header: q.Header, Body: q.Body,
+		Keyed: q.Service.Keyed, Fence: a.Fence(),
+	})
 	if err != nil {
-		return nil, proto.Unknown(proto.CodeTruncatedAnswer, "the answer of upstream %s is truncated: %v", u.Name, err)
-	}
-	answer, perr := s.classify(q, u, resp, body)
-	if i := conn.Load(); i != nil && perr != nil && perr.Outcome == proto.OutcomeUnknown {
-		// The next response on a connection that delivered a wrong one can't be trusted.
-		_ = i.Conn.Close()
-	}
-	return answer, perr
-}
-
-// classify turns a whole answer of an upstream into an outcome.
-func (s *Server) classify(q *Request, u model.Upstream, resp *http.Response, body []byte) (*Answer, *proto.Error) {
-	if int64(len(body)) > s.cfg.MaxAnswerBytes {
-		return nil, proto.Unknown(proto.CodeTooLarge, "the answer of upstream %s is larger than %d bytes",
-			u.Name, s.cfg.MaxAnswerBytes)
-	}
-	if id := resp.Header.Get(proto.HeaderRequestID); id != q.ID {
-		return nil, proto.Unknown(proto.CodeCrossedAnswer, "upstream %s answered request %q", u.Name, id)
-	}
-	if proto.Outcome(resp.Header.Get(proto.HeaderOutcome)) == proto.OutcomeNotRun {
-		return nil, refusedBy(u, resp.StatusCode, body)
-	}
-	if resp.StatusCode >= http.StatusInternalServerError {
-		return nil, proto.Unknown(proto.CodeUpstreamFailed, "upstream %s answered status %d", u.Name, resp.StatusCode)
+		return nil, err
 	}
 	return &Answer{
-		Status: resp.StatusCode, Header: passedOn(resp.Header), Body: body, Upstream: u.Name, Outcome: proto.OutcomeDone,
+		Status: w.Status, Header: w.Header, Body: w.Body, Upstream: u.Name, Outcome: proto.OutcomeDone,
 	}, nil
 }
-
-// refusedBy keeps the upstream's own reason for not running a request.
-func refusedBy(u model.Upstream, status int, body []byte) *proto.Error {
-	var e proto.Error
-	if err := json.Unmarshal(body, &e); err != nil || e.Code == "" || e.Code == proto.CodeOverloaded {
-		e.Code = proto.CodeUpstreamShed
-	}
-	if status < http.StatusBadRequest {
-		status = http.StatusServiceUnavailable
-	}
-	return proto.NotRun(e.Code, status, "upstream %s did not run the request: %s", u.Name, e.Message).
-		WithRetryAfterMs(e.RetryAfterMs)
-}
-
-func newUpstreamRequest(
-	ctx context.Context, q *Request, u model.Upstream, a model.Assignment, host string,
-) (*http.Request, error) {
-	target := url.URL{Scheme: "http", Host: u.Address, Path: q.Path, RawQuery: q.Query}
-	req, err := http.NewRequestWithContext(ctx, q.Method, target.String(), bytes.NewReader(q.Body))
-	if err != nil {
-		return nil, errors.Wrap(err, "new request")
-	}
-	// Without GetBody the transport never sends the request a second time by itself.
-	req.GetBody = nil
-	req.Header = passedOn(q.Header)
-	req.Header.Set(proto.HeaderRequestID, q.ID)
-	req.Header.Set(proto.HeaderHost, host)
-	if d, ok := ctx.Deadline(); ok {
-		req.Header.Set(proto.HeaderDeadlineMs, strconv.FormatInt(max(1, time.Until(d).Milliseconds()), 10))
-	}
-	if q.Service.Keyed {
-		req.Header.Set(proto.HeaderRange, strconv.FormatUint(a.ID, 10))
-		req.Header.Set(proto.HeaderEpoch, strconv.FormatUint(a.Epoch, 10))
-	}
-	return req, nil
-}
-
-func passedOn(h http.Header) http.Header {
-	c := h.Clone()
-	for _, k := range hopHeaders {
-		c.Del(k)
-	}
-	return c
-}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -19,6 +19,7 @@
 	"baobabreach/internal/retry"
 	"baobabreach/internal/route"
 	"baobabreach/internal/state"
+	"baobabreach/internal/wire"
 	"baobabreach/pkg/proto"
 )
 
@@ -77,7 +78,8 @@
 
 // Server handles caller requests. It is safe for concurrent use.
 type Server struct {
-	cfg Config
+	cfg  Config
+	wire *wire.Client
 }
 
 // New returns a server.
@@ -85,7 +87,10 @@
 	if cfg.Guard == nil {
 		cfg.Guard = NewGuard(GuardConfig{Clock: cfg.Clock, Log: cfg.Log})
 	}
-	return &Server{cfg: cfg}
+	return &Server{
+		cfg:  cfg,
+		wire: wire.New(wire.Config{Host: cfg.Host, HTTP: cfg.Client, MaxAnswerBytes: cfg.MaxAnswerBytes}),
+	}
 }
 
 // ServeHTTP answers one caller request.
