Keep one search for the range of a hash and one layout of list versions

route.Table.Owner repeated the search of model.State.Find without its check for a gap; both call model.FindRange now. The split of a suspects' version into term and changes stood in node and entry; poison.FirstVersion and SameLeader own it. The stand-in's stop channel was never used.

--- a/internal/entry/guard.go
+++ b/internal/entry/guard.go
@@ -15,9 +15,6 @@
 // permitRetry is the time between two tries to get the exclusive run of watched content.
 const permitRetry = 10 * time.Millisecond
 
-// termShift separates the leader's term from the changes in the version of a list of suspects.
-const termShift = 32
-
 // GuardConfig configures a Guard.
 type GuardConfig struct {
 	Clock func() time.Duration
@@ -57,7 +54,7 @@
 // Update takes the leader's list. A new leader gets the recent reports of this host again.
 func (g *Guard) Update(ctx context.Context, l poison.List) {
 	g.mu.Lock()
-	newLeader := l.Version>>termShift != g.guard.Version()>>termShift
+	newLeader := !poison.SameLeader(l.Version, g.guard.Version())
 	again := g.guard.Update(g.cfg.Clock(), l, newLeader)
 	g.mu.Unlock()
 	for _, r := range again {
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -185,11 +185,16 @@
 
 // Find returns the index in Ranges of the range that holds hash, or false.
 func (s *State) Find(service string, hash uint64) (int, bool) {
-	i := sort.Search(len(s.Ranges), func(i int) bool {
-		r := s.Ranges[i]
+	return FindRange(s.Ranges, service, hash)
+}
+
+// FindRange returns the index of the range that holds hash, or false. The ranges are sorted like State.Ranges.
+func FindRange(ranges []Assignment, service string, hash uint64) (int, bool) {
+	i := sort.Search(len(ranges), func(i int) bool {
+		r := &ranges[i]
 		return r.Service > service || (r.Service == service && r.Last >= hash)
 	})
-	if i == len(s.Ranges) || s.Ranges[i].Service != service || s.Ranges[i].First > hash {
+	if i == len(ranges) || ranges[i].Service != service || ranges[i].First > hash {
 		return 0, false
 	}
 	return i, true
--- a/internal/node/suspects.go
+++ b/internal/node/suspects.go
@@ -12,9 +12,6 @@
 // reportWait bounds the wait for all entry hosts to learn of a crash.
 const reportWait = time.Second
 
-// termShift leaves room for the changes of one term, so that lists of different leaders have different versions.
-const termShift = 32
-
 // suspects is the leader's board with what each entry host has acknowledged. It is guarded by ownerMu.
 type suspects struct {
 	board *poison.Board
@@ -30,7 +27,9 @@
 }
 
 func newSuspects(term uint64) *suspects {
-	return &suspects{board: poison.NewBoard(term << termShift), hosts: map[string]ackedList{}, acked: make(chan struct{})}
+	return &suspects{
+		board: poison.NewBoard(poison.FirstVersion(term)), hosts: map[string]ackedList{}, acked: make(chan struct{}),
+	}
 }
 
 func (s *suspects) acknowledge(now time.Duration, r owner.Renewal) {
@@ -112,7 +111,7 @@
 // this leader: the content may have been cleared since. The caller holds ownerMu.
 func (n *Node) recall(now time.Duration, q poison.PermitQuery) {
 	b := n.suspects.board
-	if q.Version>>termShift == b.Version(now)>>termShift {
+	if poison.SameLeader(q.Version, b.Version(now)) {
 		return
 	}
 	for _, p := range q.Crashes {
--- a/internal/poison/board.go
+++ b/internal/poison/board.go
@@ -89,6 +89,15 @@
 	convictAnyone bool
 }
 
+// termShift leaves room in a version for the changes of one term, so that lists of different leaders differ.
+const termShift = 32
+
+// FirstVersion returns the version of the empty list of the leader of a term.
+func FirstVersion(term uint64) uint64 { return term << termShift }
+
+// SameLeader tells whether two versions are of lists of the same leader.
+func SameLeader(a, b uint64) bool { return a>>termShift == b>>termShift }
+
 // NewBoard returns an empty board. Versions of different leaders differ if firstVersion does.
 func NewBoard(firstVersion uint64) *Board {
 	return &Board{version: firstVersion, suspects: map[string]*suspect{}, permits: map[string]permit{}}
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -3,7 +3,6 @@
 
 import (
 	"slices"
-	"sort"
 
 	"baobabreach/internal/model"
 )
@@ -50,12 +49,8 @@
 
 // Owner returns the owner of a key, or Moving if there is none at present.
 func (t *Table) Owner(service, key string) Target {
-	hash := model.HashKey(service, key)
-	i := sort.Search(len(t.Ranges), func(i int) bool {
-		r := t.Ranges[i]
-		return r.Service > service || (r.Service == service && r.Last >= hash)
-	})
-	if i == len(t.Ranges) || t.Ranges[i].Service != service {
+	i, ok := model.FindRange(t.Ranges, service, model.HashKey(service, key))
+	if !ok {
 		return Target{Moving: true}
 	}
 	a := t.Ranges[i]
--- a/internal/stub/stub.go
+++ b/internal/stub/stub.go
@@ -63,8 +63,7 @@
 
 // Upstream is a stand-in upstream. It is safe for concurrent use.
 type Upstream struct {
-	cfg  Config
-	stop chan struct{}
+	cfg Config
 
 	mu       sync.Mutex
 	held     *grant.Holder
@@ -89,7 +88,7 @@
 // New returns an upstream that holds no grant.
 func New(cfg Config) *Upstream {
 	return &Upstream{
-		cfg: cfg, stop: make(chan struct{}), held: grant.NewHolder(), runs: map[string]int{},
+		cfg: cfg, held: grant.NewHolder(), runs: map[string]int{},
 		faults: newFaults(cfg.Faults), thawed: make(chan struct{}),
 	}
 }
