--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -12,9 +12,11 @@
 	"baobabreach/internal/errs"
 	"baobabreach/internal/intent"
 	"baobabreach/pkg/proto"
+	"baobabreach/platform"
 
 	"github.com/alecthomas/kong"
 	"github.com/go-faster/errors"
+	"go.uber.org/fx"
 )
 
 // Version is the version of the program; set at the build.
@@ -30,6 +32,7 @@
 
 type cli struct {
 	Serve   serveCmd   `cmd:"" help:"Run a daemon."`
+	Gateway gatewayCmd `cmd:"" help:"Run a daemon on the platform."`
 	Plan    planCmd    `cmd:"" help:"Plan a change; nothing changes until it is confirmed."`
 	Confirm confirmCmd `cmd:"" help:"Execute a plan."`
 	Status  statusCmd  `cmd:"" help:"Show services, owners, moves, replicas and daemons."`
@@ -97,7 +100,27 @@
 	if err != nil {
 		return err
 	}
-	app := daemon.New(cfg, daemon.NetDial)
+	return runApp(daemon.New(cfg, daemon.NetDial))
+}
+
+type gatewayCmd struct {
+	Config string `arg:"" optional:"" type:"path" env:"BAOBABREACH_CONFIG" help:"Settings file."`
+}
+
+// Run runs a daemon on the platform until SIGINT or SIGTERM.
+func (c gatewayCmd) Run() error {
+	cfg, err := config.Load(c.Config)
+	if err != nil {
+		return err
+	}
+	if cfg.Gateway == nil {
+		return config.Problems{{File: c.Config, Section: "gateway", Expected: "a section of this name"}}
+	}
+	return runApp(daemon.NewGateway(cfg, daemon.NetDial, platform.Adapter()))
+}
+
+// runApp runs an application until a signal or until it ends by itself.
+func runApp(app *fx.App) error {
 	if err := app.Err(); err != nil {
 		return errors.Wrap(err, "wire daemon")
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -49,6 +49,31 @@
 	// Services is the initial set, used only until the replicated state holds services.
 	Services []model.Service
 	Limits   []model.Limit
+	// Gateway is nil unless the daemon runs on a platform, where daemons find each other by seeds.
+	Gateway *Gateway
+}
+
+// Gateway is the part of the settings of a daemon on a platform. Such a daemon takes callers on an entry host, or keeps
+// a replica.
+type Gateway struct {
+	// Ready is the address of the readiness checks; empty without callers.
+	Ready string
+	// Registry is the address that upstreams and operators of the platform call; empty on an entry host.
+	Registry string
+	// Seeds are registry addresses of some replicas; not empty.
+	Seeds []string
+	// FirstStart is true if the whole fleet starts for the first time, so that the seeds may form the group.
+	FirstStart bool
+	// Heartbeat is the time between two announcements of an upstream; positive.
+	Heartbeat time.Duration
+	// GrantTTL is the term of a grant; at least twice Heartbeat.
+	GrantTTL time.Duration
+	// RetryRatio, RetrySlack and RetryWindow bound the repeated sends of all hosts together.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+	// MemoryMB is the memory that the process may use.
+	MemoryMB int64
 }
 
 // IsReplica tells whether the daemon keeps a replica of the log.
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -32,6 +32,10 @@
 	"admission": {"policy"},
 	"stop":      {"balancer_delay", "timeout"},
 	"access":    {"operator_token_file", "control_token_file"},
+	"gateway": {
+		"ready", "registry", "seeds", "first_start", "heartbeat", "grant_ttl", "max_grant_ttl", "retry_ratio", "retry_slack",
+		"retry_window", "memory_mb",
+	},
 }
 
 var (
@@ -62,14 +66,14 @@
 }
 
 func (r *reader) read() Config {
-	return Config{
+	c := Config{
 		Host:              r.word("daemon", "host"),
 		DataCentre:        r.word("daemon", "data_centre"),
 		DataDir:           r.text("daemon", "data_dir", ""),
-		Caller:            r.address("listen", "caller"),
+		Caller:            r.callerAddress(),
 		Control:           r.address("listen", "control"),
 		Operator:          r.address("listen", "operator"),
-		Replicas:          r.replicas(),
+		Replicas:          r.fixedReplicas(),
 		MaxMoves:          int(r.number("cluster", "max_moves", 8, 1, 1024)),
 		LogLevel:          r.oneOf("log", "level", "info", []string{"debug", "info", "warn", "error"}),
 		LogFormat:         r.oneOf("log", "format", "text", []string{"text", "json"}),
@@ -84,6 +88,10 @@
 		Services:          r.services(),
 		Limits:            r.limits(),
 	}
+	if r.onPlatform() {
+		c.Gateway = r.gateway(c)
+	}
+	return c
 }
 
 func (r *reader) checkNames() {
@@ -125,6 +133,9 @@
 		}
 		seen[p[1]] = p[0]
 	}
+	if c.Gateway != nil {
+		return
+	}
 	i := slices.IndexFunc(c.Replicas, func(p Replica) bool { return p.Host == c.Host })
 	switch {
 	case c.IsReplica() && i < 0:
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -10,6 +10,7 @@
 	"os"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"baobabreach/internal/audit"
@@ -35,6 +36,7 @@
 
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
+	"golang.org/x/sys/unix"
 )
 
 // Clock is the time that leases are counted by, since the boot of the host.
@@ -55,9 +57,30 @@
 // Dial opens the connections of a daemon to other daemons and upstreams.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
+// Detection of connections whose other end vanished without a reset.
+const (
+	keepAliveIdle     = time.Second
+	keepAliveInterval = time.Second
+	keepAliveCount    = 3
+	// unackedTimeout ends a connection whose sent bytes are not acknowledged.
+	unackedTimeout = 3 * time.Second
+)
+
 // NetDial dials over the network.
 func NetDial(ctx context.Context, network, address string) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout}
+	d := net.Dialer{
+		Timeout: dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
+		},
+		Control: func(_, _ string, c syscall.RawConn) error {
+			var setErr error
+			err := c.Control(func(fd uintptr) {
+				setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+			})
+			return firstError(err, setErr)
+		},
+	}
 	c, err := d.DialContext(ctx, network, address)
 	return c, errs.Wrap(err, "dial")
 }
@@ -281,7 +304,15 @@
 	}
 	log = logs.Part(log, "replica")
 	self := raft.Member{ID: loaded.Identity.ID, Host: cfg.Host, Address: cfg.Control}
-	r.info.Store(&replicaInfo{Member: self, Members: loaded.Identity.Members})
+	planner, voters := owner.Config{MaxMoves: cfg.MaxMoves}, 0
+	firstStart := true
+	if g := cfg.Gateway; g != nil {
+		// Hosts on a platform come and go under any name; a disk is known by the address that it is reached at.
+		self.Host, voters, firstStart = cfg.Control, gatewayVoters, g.FirstStart
+		cfg.Replicas = seedReplicas(cfg)
+		planner = gatewayPlanner(cfg)
+	}
+	r.info.Store(&replicaInfo{Member: self, Members: loaded.Identity.Members, FirstStart: firstStart})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	run := func() error {
@@ -291,12 +322,12 @@
 		if err != nil {
 			return err
 		}
-		r.info.Store(&replicaInfo{Member: self, Members: &ms})
+		r.info.Store(&replicaInfo{Member: self, Members: &ms, FirstStart: firstStart})
 		n, err := node.New(node.Config{
 			Self: self, Store: st, Loaded: loaded, Members: ms, Replicas: cfg.Replicas, Random: rand.Int64N, Clock: now,
 			WallMs: func() int64 { return time.Now().UnixMilli() },
 			Send:   newSender(ctx, c.control, t.control).send, Log: log,
-			Planner: owner.Config{MaxMoves: cfg.MaxMoves}, InitialSet: cfg.Services, InitialLimits: cfg.Limits,
+			Planner: planner, Voters: voters, InitialSet: cfg.Services, InitialLimits: cfg.Limits,
 			Audit: ring,
 		})
 		if err != nil {
--- a/internal/daemon/form.go
+++ b/internal/daemon/form.go
@@ -25,6 +25,8 @@
 	Member raft.Member `json:"member"`
 	// Members is nil until the group has formed.
 	Members *raft.Members `json:"members,omitempty"`
+	// FirstStart is false on a disk that was emptied later. Such a disk joins a group and never forms one.
+	FirstStart bool `json:"first_start"`
 }
 
 // former finds the members of the group. A group forms only when every replica of the settings is present with an
@@ -63,9 +65,10 @@
 // look returns a member list and whether it is the one of this replica, and whether a group has formed.
 func (f former) look(ctx context.Context) (members raft.Members, ok, formed bool) {
 	members = raft.Members{Voters: []raft.Member{f.self}}
-	all := true
+	isSeed := func(r config.Replica) bool { return r.Address == f.self.Address }
+	all := f.cfg.Gateway == nil || f.cfg.Gateway.FirstStart && slices.ContainsFunc(f.cfg.Replicas, isSeed)
 	for _, r := range f.cfg.Replicas {
-		if r.Host == f.cfg.Host {
+		if r.Address == f.self.Address {
 			continue
 		}
 		info, err := f.ask(ctx, r.Address)
@@ -77,6 +80,7 @@
 			_, ok := info.Members.ByID(f.self.ID)
 			return *info.Members, ok, true
 		}
+		all = all && info.FirstStart
 		members.Voters = append(members.Voters, info.Member)
 	}
 	slices.SortFunc(members.Voters, func(a, b raft.Member) int { return strings.Compare(a.Host, b.Host) })
@@ -86,7 +90,7 @@
 // join asks every replica until the leader confirms that this one is a committed member.
 func (f former) join(ctx context.Context) (raft.Members, bool) {
 	for _, r := range f.cfg.Replicas {
-		if r.Host == f.cfg.Host {
+		if r.Address == f.self.Address {
 			continue
 		}
 		ctx, cancel := context.WithTimeout(ctx, time.Second)
--- /dev/null
+++ b/internal/daemon/registry.go
@@ -0,0 +1,209 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"baobabreach/internal/config"
+	"baobabreach/internal/logs"
+	"baobabreach/internal/model"
+	"baobabreach/internal/node"
+	"baobabreach/internal/peer"
+	"baobabreach/internal/state"
+	"baobabreach/pkg/proto"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	// forwardTimeout bounds a call that is passed on to the leader: callers wait a second for the answer.
+	forwardTimeout = 850 * time.Millisecond
+	// leaveWait bounds the wait until the state says that an upstream leaves.
+	leaveWait = 700 * time.Millisecond
+	// awaitWait is how long the answer to an announcement waits for a range that is being given back.
+	awaitWait = 400 * time.Millisecond
+	// changeTimeout bounds a change of the configuration; operators wait a second, longer for large ones.
+	changeTimeout = 2 * time.Second
+)
+
+// Registry is what a platform's upstreams and operators ask of a replica. Each call is answered by the leader; other
+// replicas pass it on.
+type Registry struct {
+	cfg    config.Config
+	node   func() *node.Node
+	leader *peer.LeaderClient
+	clock  Clock
+	log    *slog.Logger
+}
+
+func newRegistry(cfg config.Config, r *replica, l *peer.LeaderClient, now Clock, log *slog.Logger) Registry {
+	return Registry{cfg: cfg, node: r.node.Load, leader: l, clock: now, log: logs.Part(log, "registry")}
+}
+
+// onLeader runs here on the leader and passes q on everywhere else.
+func onLeader[Q, A any](
+	ctx context.Context, r Registry, path string, timeout time.Duration, here func(context.Context, Q) (A, error), q Q,
+) (A, error) {
+	a, err := here(ctx, q)
+	if err == nil || peer.AsError(err).Code != proto.CodeNotLeader {
+		return a, err
+	}
+	if to := peer.AsError(err).Leader; to != "" && to != r.cfg.Control {
+		r.leader.Prefer(to)
+	}
+	if r.leader.Leader() == r.cfg.Control {
+		r.leader.Skip(r.cfg.Control)
+	}
+	return peer.ToLeader[Q, A](ctx, r.leader, path, timeout, q)
+}
+
+// Announce answers the announcement of an upstream.
+func (r Registry) Announce(ctx context.Context, a proto.Announcement) (proto.Grant, error) {
+	if err := a.Validate(); err != nil {
+		return proto.Grant{}, err
+	}
+	return onLeader(ctx, r, peer.PathAnnounce, forwardTimeout, r.announceHere, a)
+}
+
+// Depart notes that an upstream leaves.
+func (r Registry) Depart(ctx context.Context, name string) error {
+	_, err := onLeader(ctx, r, peer.PathDepart, forwardTimeout, r.departHere, name)
+	return err
+}
+
+// Change commits a change of the configuration. The error wraps model.ErrInvalid for one that is refused.
+func (r Registry) Change(ctx context.Context, c model.Change) error {
+	if err := c.Validate(); err != nil {
+		return err
+	}
+	_, err := onLeader(ctx, r, peer.PathChange, changeTimeout, r.changeHere, c)
+	var e *proto.Error
+	if errors.As(err, &e) && e.Code == proto.CodeConflict {
+		return errors.Wrap(model.ErrInvalid, e.Message)
+	}
+	return err
+}
+
+// Items returns the configuration in force.
+func (r Registry) Items(ctx context.Context) (model.Items, error) {
+	return onLeader(ctx, r, peer.PathItems, forwardTimeout, r.itemsHere, struct{}{})
+}
+
+// LeaderAddress returns the registry address of the leader, or "" if it isn't known.
+func (r Registry) LeaderAddress() string {
+	n := r.node()
+	if n == nil {
+		return ""
+	}
+	host, _, err := net.SplitHostPort(n.Status().Leader.Address)
+	if err != nil {
+		return ""
+	}
+	_, port, err := net.SplitHostPort(r.cfg.Gateway.Registry)
+	if err != nil {
+		return ""
+	}
+	return net.JoinHostPort(host, port)
+}
+
+func (r Registry) here() (*node.Node, error) {
+	n := r.node()
+	if n == nil {
+		return nil, proto.NotRun(proto.CodeNotLeader, http.StatusMisdirectedRequest, "this host runs no replica yet")
+	}
+	return n, n.Leads()
+}
+
+func (r Registry) announceHere(ctx context.Context, a proto.Announcement) (proto.Grant, error) {
+	received := r.clock()
+	n, err := r.here()
+	if err != nil {
+		return proto.Grant{}, err
+	}
+	g, err := n.Announce(received, a)
+	for err == nil {
+		leaves := (a.Draining || a.Gone) && !g.Leaving
+		waited := r.clock() - received
+		if !leaves && !(g.Awaiting && waited < awaitWait) {
+			return g, nil
+		}
+		changed := n.Changed()
+		g, err = n.Regrant(a)
+		if err != nil || g.Leaving && !g.Awaiting || !leaves && !g.Awaiting {
+			continue
+		}
+		limit := awaitWait
+		if leaves {
+			limit = leaveWait
+		}
+		if waited >= limit {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return proto.Grant{}, errors.Wrap(ctx.Err(), "announce")
+		case <-changed:
+		case <-time.After(limit - waited):
+		}
+	}
+	if err == nil {
+		err = proto.NotRun(proto.CodeNoLeader, http.StatusServiceUnavailable, "the leave of %s is not committed", a.Name)
+	}
+	return proto.Grant{}, err
+}
+
+func (r Registry) departHere(ctx context.Context, name string) (struct{}, error) {
+	n, err := r.here()
+	if err != nil {
+		return struct{}{}, err
+	}
+	end := r.clock() + leaveWait
+	for {
+		changed := n.Changed()
+		left, err := n.Depart(name)
+		if err != nil || left {
+			return struct{}{}, err
+		}
+		if r.clock() >= end {
+			return struct{}{}, proto.NotRun(proto.CodeNoLeader, http.StatusServiceUnavailable, "the leave of %s is not committed", name)
+		}
+		select {
+		case <-ctx.Done():
+			return struct{}{}, errors.Wrap(ctx.Err(), "depart")
+		case <-changed:
+		case <-time.After(end - r.clock()):
+		}
+	}
+}
+
+func (r Registry) changeHere(ctx context.Context, c model.Change) (struct{}, error) {
+	n, err := r.here()
+	if err != nil {
+		return struct{}{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	rs, err := n.Propose(ctx, []state.Command{{Items: &c}})
+	if err != nil {
+		return struct{}{}, err
+	}
+	if rs[0].Invalid != "" {
+		r.log.Warn("change refused", "reason", rs[0].Invalid)
+		return struct{}{}, proto.NotRun(proto.CodeConflict, http.StatusBadRequest, "%s", rs[0].Invalid)
+	}
+	r.log.Info("change accepted", "routes", len(c.Routes), "services", len(c.Services), "items", n.Model().ItemsVersion)
+	return struct{}{}, nil
+}
+
+func (r Registry) itemsHere(context.Context, struct{}) (model.Items, error) {
+	n, err := r.here()
+	if err != nil {
+		return model.Items{}, err
+	}
+	items := n.Model().Items
+	// The lease is checked after the read: a successor may have changed the items before it ended.
+	return items, n.Leads()
+}
--- /dev/null
+++ b/internal/gate/call.go
@@ -0,0 +1,362 @@
+package gate
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"baobabreach/internal/model"
+	"baobabreach/internal/pipe"
+	"baobabreach/pkg/proto"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	// defaultTimeout bounds a request before its route is known and without a deadline of the caller.
+	defaultTimeout = 30 * time.Second
+	// ownerWaitShare is the share of the latency objective that a keyed request waits for an owner.
+	ownerWaitShare = 0.6
+	// retryAfter tells callers when to come back after a refusal. Most causes are over within a second.
+	retryAfter = 300 * time.Millisecond
+	// ownerPause paces the sends to an owner that is about to get or lose the key.
+	ownerPause = 40 * time.Millisecond
+	// maxRefusals bounds the sends of one request that upstreams refused.
+	maxRefusals = 6
+)
+
+// call is one request of a caller.
+type call struct {
+	gate    *Gate
+	id      string
+	started time.Duration
+	// until is when the caller or the route gives up.
+	until time.Duration
+	route model.Route
+	part  string
+	body  []byte
+	// version is that of the table that the last try used.
+	version  uint64
+	upstream string
+	tried    map[string]bool
+	sends    int
+	refusals int
+	// maybeRan is true once a try may have run.
+	maybeRan bool
+	reason   string
+	buffered int64
+}
+
+// reply is the final answer. Code is empty for an answer of an upstream.
+type reply struct {
+	pipe.Answer
+	code       proto.Code
+	retryAfter time.Duration
+}
+
+func (c *call) now() time.Duration { return c.gate.cfg.Clock() }
+
+// limit bounds the request by the deadline of the caller.
+func (c *call) limit(r *http.Request) (context.Context, context.CancelFunc) {
+	left := defaultTimeout
+	if ms, err := strconv.ParseFloat(r.Header.Get(c.gate.cfg.Names.Deadline), 64); err == nil && ms > 0 {
+		left = min(left, time.Duration(ms*float64(time.Millisecond)))
+	}
+	c.until = c.started + left
+	return context.WithTimeout(r.Context(), left)
+}
+
+func (c *call) run(ctx context.Context, r *http.Request) reply {
+	t, _ := c.gate.cfg.View.Table()
+	if t.Version == 0 || len(t.Routes) == 0 {
+		return c.refuse(proto.CodeNoLease, "no configuration yet")
+	}
+	c.version = t.Version
+	host := r.Host
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	rt, ok := findRoute(t, host, r.URL.Path)
+	if !ok {
+		return reply{Answer: pipe.Answer{Status: http.StatusNotFound}, code: proto.CodeNotFound}
+	}
+	c.route, c.part = rt, choosePart(rt)
+	c.until = min(c.until, c.started+time.Duration(rt.TimeoutMs)*time.Millisecond)
+	ctx, cancel := context.WithTimeout(ctx, c.until-c.now())
+	defer cancel()
+	if a, ok := c.readBody(r, t.Bounds); !ok {
+		return a
+	}
+	c.gate.cfg.Budget.Started(c.now(), c.part, c.gate.hosts())
+	if t.Services[c.part].Keyed {
+		return c.runKeyed(ctx, r)
+	}
+	return c.runAny(ctx, r)
+}
+
+// readBody holds the whole body, so that it can be sent again.
+func (c *call) readBody(r *http.Request, b model.Bounds) (reply, bool) {
+	bound := b.BodyBytes
+	if bound <= 0 {
+		bound = c.gate.cfg.MaxBodyBytes
+	}
+	if r.ContentLength > bound {
+		return reply{Answer: pipe.Answer{Status: http.StatusRequestEntityTooLarge}, code: proto.CodeTooLarge}, false
+	}
+	if c.gate.buffered.Load() > c.gate.cfg.MaxBuffered {
+		return c.refuse(proto.CodeOverloaded, "too many request bodies are held"), false
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, bound+1))
+	c.buffered = int64(len(body))
+	c.gate.buffered.Add(c.buffered)
+	switch {
+	case err != nil:
+		c.reason = "body can't be read: " + err.Error()
+		return reply{Answer: pipe.Answer{Status: http.StatusBadRequest}, code: proto.CodeBadRequest}, false
+	case int64(len(body)) > bound:
+		return reply{Answer: pipe.Answer{Status: http.StatusRequestEntityTooLarge}, code: proto.CodeTooLarge}, false
+	}
+	c.body = body
+	return reply{}, true
+}
+
+// runAny sends a request that any upstream of the service may run.
+func (c *call) runAny(ctx context.Context, r *http.Request) reply {
+	for {
+		t, _ := c.gate.cfg.View.Table()
+		c.version = t.Version
+		u, ok := c.gate.cfg.Picker.Pick(c.now(), t.Candidates(c.part), c.tried)
+		if !ok {
+			return c.giveUp(ctx, proto.CodeNoUpstream, "no upstream is left to try")
+		}
+		a, f := c.send(ctx, r, u)
+		if f == nil {
+			if !c.retriesAnswer(a) {
+				return reply{Answer: *a}
+			}
+			continue
+		}
+		if !c.again(ctx, f) {
+			return c.giveUp(ctx, codeOf(f), f.Error())
+		}
+	}
+}
+
+// runKeyed sends a request to the owner of its key and follows the key while it moves.
+func (c *call) runKeyed(ctx context.Context, r *http.Request) reply {
+	key, err := strconv.ParseUint(r.Header.Get(c.gate.cfg.Names.Key), 10, 16)
+	if err != nil {
+		c.reason = "key " + strconv.Quote(r.Header.Get(c.gate.cfg.Names.Key)) + " is no number from 0 to 65535"
+		return reply{Answer: pipe.Answer{Status: http.StatusBadRequest}, code: proto.CodeMissingKey}
+	}
+	position := model.OrderedPosition(uint16(key))
+	patience := c.started + time.Duration(ownerWaitShare*float64(c.route.ObjectiveMs))*time.Millisecond
+	for {
+		t, changed := c.gate.cfg.View.Table()
+		c.version = t.Version
+		to := t.OwnerAt(c.part, position)
+		if to.Upstream.Name == "" || !c.gate.cfg.Picker.Take(c.now(), to.Upstream) {
+			if c.now() >= patience || !c.await(ctx, changed, patience-c.now()) {
+				return c.giveUp(ctx, proto.CodeNoUpstream, "the key has no owner that can be reached")
+			}
+			continue
+		}
+		sent := c.now()
+		a, f := c.send(ctx, r, to.Upstream)
+		c.gate.cfg.View.Record(c.now(), c.part, position, to.Assignment.ID, c.now()-sent)
+		if f == nil {
+			if !c.retriesAnswer(a) {
+				return reply{Answer: *a}
+			}
+			continue
+		}
+		if f.Stage == pipe.StageRefused && f.Status == http.StatusMisdirectedRequest {
+			// The owner does not hold the key yet, or no longer.
+			if c.now() >= patience || !c.await(ctx, changed, ownerPause) {
+				return c.giveUp(ctx, proto.CodeStaleGrant, f.Error())
+			}
+		}
+		if !c.again(ctx, f) {
+			return c.giveUp(ctx, codeOf(f), f.Error())
+		}
+	}
+}
+
+// await waits for a newer table, at most for d. It returns false if the request ended meanwhile.
+func (c *call) await(ctx context.Context, changed <-chan struct{}, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-changed:
+	case <-t.C:
+	}
+	return true
+}
+
+// send makes one try at an upstream that the picker has counted.
+func (c *call) send(ctx context.Context, r *http.Request, u model.Upstream) (*pipe.Answer, *pipe.Failure) {
+	now := c.now()
+	c.upstream = u.Name
+	c.sends++
+	a, f := c.gate.cfg.Pool.Send(ctx, pipe.Request{
+		ID: c.id, Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header, Body: c.body,
+		Left: c.until - now, Upstream: u.Name, Address: u.Address,
+	})
+	c.gate.cfg.Picker.Done(c.now(), u, resultOf(ctx, a, f), c.now()-now)
+	if f == nil {
+		c.maybeRan = true
+		c.tried[u.Name] = true
+		return a, nil
+	}
+	switch f.Stage {
+	case pipe.StageUnknown:
+		c.maybeRan = true
+		c.tried[u.Name] = true
+	case pipe.StageRefused:
+		c.refusals++
+		if f.Status != http.StatusMisdirectedRequest {
+			c.tried[u.Name] = true
+		}
+	case pipe.StageNotSent:
+		c.tried[u.Name] = true
+	}
+	c.gate.cfg.Log.Debug("try failed", "request", c.id, "upstream", u.Name, "stage", f.Stage, "error", f.Error())
+	return nil, f
+}
+
+func resultOf(ctx context.Context, a *pipe.Answer, f *pipe.Failure) Result {
+	switch {
+	case f == nil && a.Status < http.StatusInternalServerError:
+		return ResultDone
+	case f == nil:
+		return ResultFailed
+	case f.Stage == pipe.StageRefused && f.Status == http.StatusMisdirectedRequest:
+		return ResultNeutral
+	case f.Stage == pipe.StageRefused:
+		return ResultRefused
+	case ctx.Err() != nil:
+		return ResultNeutral
+	}
+	return ResultFailed
+}
+
+// retriesAnswer tells whether an upstream's own failure is worth another try.
+func (c *call) retriesAnswer(a *pipe.Answer) bool {
+	return a.Status >= http.StatusInternalServerError && c.route.Idempotent && c.mayResend()
+}
+
+// again tells whether the request may be sent once more after the failure.
+func (c *call) again(ctx context.Context, f *pipe.Failure) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	switch f.Stage {
+	case pipe.StageUnknown:
+		return c.route.Idempotent && c.mayResend()
+	case pipe.StageRefused:
+		return c.refusals < maxRefusals && c.mayResend()
+	}
+	// Nothing reached the upstream, so nothing is repeated.
+	return len(c.tried) <= c.route.Attempts+1
+}
+
+// mayResend takes one repeated send from the budget, within the attempts of the route.
+func (c *call) mayResend() bool {
+	if len(c.tried) >= max(1, c.route.Attempts) {
+		return false
+	}
+	return c.gate.cfg.Budget.Take(c.now(), c.part, c.gate.hosts())
+}
+
+// refuse answers a request that was not run and never will be.
+func (c *call) refuse(code proto.Code, reason string) reply {
+	c.reason = reason
+	return reply{Answer: pipe.Answer{Status: http.StatusServiceUnavailable}, code: code, retryAfter: retryAfter}
+}
+
+// giveUp answers a request without an answer of an upstream.
+func (c *call) giveUp(ctx context.Context, code proto.Code, reason string) reply {
+	c.reason = reason
+	switch {
+	case !c.maybeRan:
+		return c.refuse(code, reason)
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return reply{Answer: pipe.Answer{Status: http.StatusGatewayTimeout}, code: proto.CodeDeadline}
+	}
+	return reply{Answer: pipe.Answer{Status: http.StatusBadGateway}, code: code}
+}
+
+func codeOf(f *pipe.Failure) proto.Code {
+	switch f.Stage {
+	case pipe.StageNotSent:
+		return proto.CodeUpstreamFailed
+	case pipe.StageRefused:
+		return proto.CodeOverloaded
+	}
+	return proto.CodeConnectionLost
+}
+
+// finish writes the answer, and one log line.
+func (c *call) finish(w http.ResponseWriter, r *http.Request, a reply) {
+	c.gate.buffered.Add(-c.buffered)
+	h := w.Header()
+	for k, vs := range a.Header {
+		h[k] = vs
+	}
+	for _, k := range []string{"Date", "Content-Type"} {
+		if _, ok := h[k]; !ok {
+			h[k] = nil
+		}
+	}
+	if a.code != "" {
+		h.Set(c.gate.cfg.Names.RequestID, c.id)
+	}
+	if a.retryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', 3, 64))
+	}
+	if c.gate.stopping.Load() {
+		h.Set("Connection", "close")
+	}
+	h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	w.WriteHeader(a.Status)
+	if r.Method != http.MethodHead {
+		// A caller that has left gets no answer.
+		_, _ = w.Write(a.Body)
+	}
+	c.log(r.Context(), a)
+}
+
+// outcome tells what the caller can rely on.
+func (c *call) outcome(a reply) proto.Outcome {
+	switch {
+	case a.code == "":
+		return proto.OutcomeDone
+	case c.maybeRan:
+		return proto.OutcomeUnknown
+	}
+	return proto.OutcomeNotRun
+}
+
+func (c *call) log(ctx context.Context, a reply) {
+	elapsed := c.now() - c.started
+	outcome := c.outcome(a)
+	if m := c.gate.cfg.Metrics; m != nil {
+		m.Observe(c.route.Name, model.ClassShort, outcome, elapsed)
+	}
+	level := slog.LevelInfo
+	if a.code != "" {
+		level = slog.LevelWarn
+	}
+	c.gate.cfg.Log.LogAttrs(ctx, level, "request",
+		slog.String("request", c.id), slog.String("route", c.route.Name), slog.Uint64("route_version", c.route.Version),
+		slog.Uint64("table", c.version), slog.String("service", c.part), slog.String("upstream", c.upstream),
+		slog.Int("sends", c.sends), slog.Int("status", a.Status), slog.String("outcome", string(outcome)),
+		slog.String("code", string(a.code)), slog.String("reason", c.reason),
+		slog.Int64("ms", elapsed.Milliseconds()), slog.Bool("caller_left", ctx.Err() != nil))
+}
--- /dev/null
+++ b/internal/gate/gate.go
@@ -0,0 +1,92 @@
+// Package gate serves callers that name a route by host and path: it finds the route, chooses the upstream or the owner
+// of the key, and returns the upstream's answer or says what became of the request.
+package gate
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"baobabreach/internal/metric"
+	"baobabreach/internal/model"
+	"baobabreach/internal/pipe"
+	"baobabreach/internal/route"
+)
+
+// Config configures a Gate.
+type Config struct {
+	Names  pipe.Names
+	View   *route.View
+	Pool   *pipe.Pool
+	Picker *Picker
+	Budget *Budget
+	Clock  func() time.Duration
+	Log    *slog.Logger
+	// Metrics counts requests; nil counts none.
+	Metrics *metric.Registry
+	// MaxBodyBytes bounds a request body where the configuration states no bound.
+	MaxBodyBytes int64
+	// MaxBuffered bounds the bytes of all request bodies that are held at once.
+	MaxBuffered int64
+}
+
+// Gate is an http.Handler for callers.
+type Gate struct {
+	cfg      Config
+	buffered atomic.Int64
+	stopping atomic.Bool
+}
+
+// New returns a gate.
+func New(cfg Config) *Gate { return &Gate{cfg: cfg} }
+
+// Stop lets the gate ask callers to close their connections.
+func (g *Gate) Stop() { g.stopping.Store(true) }
+
+// Ready tells whether the gate has a configuration to serve.
+func (g *Gate) Ready() bool {
+	t, _ := g.cfg.View.Table()
+	return !g.stopping.Load() && len(t.Routes) > 0
+}
+
+// findRoute returns the route with the longest prefix of the path, or false.
+func findRoute(t *route.Table, host, path string) (model.Route, bool) {
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		if strings.EqualFold(r.Host, host) && strings.HasPrefix(path, r.Prefix) {
+			return *r, true
+		}
+	}
+	return model.Route{}, false
+}
+
+// choosePart draws a service of the route by weight.
+func choosePart(r model.Route) string {
+	total := 0.0
+	for _, p := range r.Parts {
+		total += p.Weight
+	}
+	at := rand.Float64() * total
+	for _, p := range r.Parts {
+		if at < p.Weight {
+			return p.Service
+		}
+		at -= p.Weight
+	}
+	return r.Parts[len(r.Parts)-1].Service
+}
+
+// hosts returns the number of entry hosts that share the bounds.
+func (g *Gate) hosts() int { return max(1, len(g.cfg.View.Daemons())) }
+
+// ServeHTTP answers one request of a caller.
+func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c := &call{gate: g, started: g.cfg.Clock(), id: r.Header.Get(g.cfg.Names.RequestID), tried: map[string]bool{}}
+	ctx, cancel := c.limit(r)
+	defer cancel()
+	a := c.run(ctx, r)
+	c.finish(w, r, a)
+}
--- /dev/null
+++ b/internal/gate/pick.go
@@ -0,0 +1,204 @@
+package gate
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"baobabreach/internal/model"
+)
+
+const (
+	// latencyWeight is the weight of one answer in the mean latency of an upstream.
+	latencyWeight = 0.15
+	// remotePenalty is what another data centre costs in requests in flight. Bytes between data centres are paid for.
+	remotePenalty = 1.0
+	// failuresToEject is the number of failures in a row after which an upstream gets no requests for a while.
+	failuresToEject = 3
+	// failureRateLimit ejects an upstream that fails part of its requests.
+	failureRateLimit  = 0.35
+	failureRateWeight = 0.12
+	minEjection       = 500 * time.Millisecond
+	maxEjection       = 4 * time.Second
+	// ejectDivisor bounds the ejected upstreams of a service to a third.
+	ejectDivisor = 3
+	// refusedPause keeps requests from an upstream that has just refused one for lack of room.
+	refusedPause = 60 * time.Millisecond
+	// slowFactorMax bounds how much worse a slow upstream is rated.
+	slowFactorMax = 8.0
+)
+
+// Result is what a try says about its upstream.
+type Result string
+
+const (
+	// ResultDone is a whole answer that is no failure.
+	ResultDone Result = "done"
+	// ResultFailed is a failure of the upstream or of the connection to it.
+	ResultFailed Result = "failed"
+	// ResultRefused means that the upstream had no room.
+	ResultRefused Result = "refused"
+	// ResultNeutral says nothing, e.g. because the caller left.
+	ResultNeutral Result = "neutral"
+)
+
+// health is what this host saw of one process of an upstream.
+type health struct {
+	incarnation  uint64
+	inFlight     int
+	latency      float64
+	inRow        int
+	failureRate  float64
+	ejections    int
+	ejectedUntil time.Duration
+	pausedUntil  time.Duration
+	seen         time.Duration
+}
+
+// Picker chooses upstreams by the requests in flight, latencies and failures that this host saw. It is safe for
+// concurrent use.
+type Picker struct {
+	dataCentre string
+	random     func(n int) int
+
+	mu     sync.Mutex
+	health map[string]*health
+}
+
+// NewPicker returns a picker that prefers the data centre. random returns a number in [0, n).
+func NewPicker(dataCentre string, random func(n int) int) *Picker {
+	return &Picker{dataCentre: dataCentre, random: random, health: map[string]*health{}}
+}
+
+// Pick returns the best upstream that is not in tried, or false if there is none. It counts a request in flight.
+func (p *Picker) Pick(now time.Duration, us []model.Upstream, tried map[string]bool) (model.Upstream, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	best, found, bestScore := model.Upstream{}, false, math.Inf(1)
+	mean := p.meanLatency(us)
+	mayEject := p.mayEject(now, us)
+	offset := 0
+	if len(us) > 0 {
+		offset = p.random(len(us))
+	}
+	for i := range us {
+		u := us[(i+offset)%len(us)]
+		if tried[u.Name] {
+			continue
+		}
+		if s := p.score(now, u, mean, mayEject); s < bestScore {
+			best, found, bestScore = u, true, s
+		}
+	}
+	if found {
+		p.of(now, best).inFlight++
+	}
+	return best, found
+}
+
+// score rates an upstream; lower is better.
+func (p *Picker) score(now time.Duration, u model.Upstream, mean float64, mayEject bool) float64 {
+	h := p.of(now, u)
+	s := float64(h.inFlight+1) / float64(max(1, u.Slots))
+	if u.DataCentre != p.dataCentre {
+		s += remotePenalty / float64(max(1, u.Slots))
+	}
+	if h.latency > 0 && mean > 0 {
+		s *= min(slowFactorMax, max(0.5, h.latency/mean))
+	}
+	if now < h.pausedUntil {
+		s += 10
+	}
+	if now < h.ejectedUntil && mayEject {
+		s += 1000
+	}
+	return s
+}
+
+// mayEject tells whether few enough upstreams are ejected for the ejections to count.
+func (p *Picker) mayEject(now time.Duration, us []model.Upstream) bool {
+	n := 0
+	for _, u := range us {
+		if now < p.of(now, u).ejectedUntil {
+			n++
+		}
+	}
+	return n <= max(1, len(us)/ejectDivisor)
+}
+
+func (p *Picker) meanLatency(us []model.Upstream) float64 {
+	sum, n := 0.0, 0
+	for _, u := range us {
+		if h := p.health[u.Name]; h != nil && h.incarnation == u.Incarnation && h.latency > 0 {
+			sum, n = sum+h.latency, n+1
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / float64(n)
+}
+
+// Take counts a request in flight at an upstream that was not chosen by Pick. It returns false while the upstream is
+// ejected.
+func (p *Picker) Take(now time.Duration, u model.Upstream) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.of(now, u)
+	if now < h.ejectedUntil {
+		return false
+	}
+	h.inFlight++
+	return true
+}
+
+// Done ends a request that Pick or Take counted.
+func (p *Picker) Done(now time.Duration, u model.Upstream, r Result, elapsed time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.health[u.Name]
+	if h == nil || h.incarnation != u.Incarnation {
+		return
+	}
+	h.inFlight = max(0, h.inFlight-1)
+	switch r {
+	case ResultDone:
+		if h.latency == 0 {
+			h.latency = elapsed.Seconds()
+		}
+		h.latency += (elapsed.Seconds() - h.latency) * latencyWeight
+		h.inRow, h.failureRate = 0, h.failureRate*(1-failureRateWeight)
+	case ResultFailed:
+		h.inRow++
+		h.failureRate += (1 - h.failureRate) * failureRateWeight
+		if (h.inRow >= failuresToEject || h.failureRate > failureRateLimit) && now >= h.ejectedUntil {
+			h.ejectedUntil = now + min(maxEjection, minEjection<<min(h.ejections, 4))
+			h.ejections++
+			h.failureRate = failureRateLimit / 2
+		}
+	case ResultRefused:
+		h.pausedUntil = now + refusedPause
+	case ResultNeutral:
+	}
+}
+
+// Forget drops what was seen of upstreams that are not in keep any more.
+func (p *Picker) Forget(now, age time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, h := range p.health {
+		if h.inFlight == 0 && now-h.seen > age {
+			delete(p.health, name)
+		}
+	}
+}
+
+func (p *Picker) of(now time.Duration, u model.Upstream) *health {
+	h := p.health[u.Name]
+	if h == nil || h.incarnation != u.Incarnation {
+		h = &health{incarnation: u.Incarnation}
+		p.health[u.Name] = h
+	}
+	h.seen = now
+	return h
+}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -2,6 +2,9 @@
 package metric
 
 import (
+	"fmt"
+	"io"
+	"strings"
 	"sync"
 	"time"
 
@@ -75,3 +78,25 @@
 func newHistogram() metrics.Histogram {
 	return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleAlpha))
 }
+
+// percentiles of the histograms that WriteText prints.
+var percentiles = []float64{0.5, 0.9, 0.99}
+
+// WriteText writes every metric as a line of name and value.
+func (r *Registry) WriteText(w io.Writer) {
+	r.r.Each(func(name string, m any) {
+		name = "baobabreach_" + strings.NewReplacer(".", "_", "-", "_").Replace(name)
+		switch m := m.(type) {
+		case metrics.Counter:
+			_, _ = fmt.Fprintf(w, "%s %d\n", name, m.Count())
+		case metrics.Gauge:
+			_, _ = fmt.Fprintf(w, "%s %d\n", name, m.Value())
+		case metrics.Histogram:
+			s := m.Snapshot()
+			_, _ = fmt.Fprintf(w, "%s_count %d\n%s_max %d\n", name, s.Count(), name, s.Max())
+			for i, v := range s.Percentiles(percentiles) {
+				_, _ = fmt.Fprintf(w, "%s{quantile=\"%g\"} %g\n", name, percentiles[i], v)
+			}
+		}
+	})
+}
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -48,8 +48,27 @@
 	Ranges int `json:"ranges"`
 	// DeadlineMs is the default deadline of a request; positive.
 	DeadlineMs int64 `json:"deadline_ms"`
+	// Ordered divides the keys of a keyed service in their own order instead of by hash: keys are numbers below
+	// OrderedKeys, and neighbours often share a range.
+	Ordered bool `json:"ordered,omitempty"`
+	// MaxConnections bounds the connections to one upstream from all hosts together; 0 means no bound.
+	MaxConnections int `json:"max_connections,omitempty"`
 }
 
+// Keys of an ordered service.
+const (
+	// OrderedKeys is the number of keys of an ordered service.
+	OrderedKeys = 1 << 16
+	// OrderedSpan is the width of one such key in the space of positions, which hashes share.
+	OrderedSpan = 1 << 48
+	// OrderedRanges is the number of ranges that an ordered service starts with. A power of two, so that each range
+	// starts with a key.
+	OrderedRanges = 256
+)
+
+// OrderedPosition returns the position of a key of an ordered service.
+func OrderedPosition(key uint16) uint64 { return uint64(key) * OrderedSpan }
+
 // Upstream is a registered upstream. The pair of Name and Incarnation identifies one process.
 type Upstream struct {
 	Name         string `json:"name"`
@@ -136,6 +155,13 @@
 	NextEpoch   uint64           `json:"next_epoch"`
 	// RemovedReplicas names the hosts whose replica an operator removed; they leave the group and can't join it.
 	RemovedReplicas map[string]bool `json:"removed_replicas,omitempty"`
+	// Items is the configuration in named items. Routes, Bounds and the services of its names follow from it.
+	Items Items `json:"items"`
+	// ItemsVersion grows with every change of Items.
+	ItemsVersion uint64 `json:"items_version,omitempty"`
+	// Routes is sorted as by SortRoutes.
+	Routes []Route `json:"routes,omitempty"`
+	Bounds Bounds  `json:"bounds"`
 	// Members is the leader's view of the group. It is set only while an intent is planned or confirmed.
 	Members []Member `json:"-"`
 }
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -85,6 +85,41 @@
 	return g, nil
 }
 
+// Regrant returns the present grant for an announcement that Announce has answered before.
+func (n *Node) Regrant(a proto.Announcement) (proto.Grant, error) {
+	n.ownerMu.Lock()
+	defer n.ownerMu.Unlock()
+	if err := n.mustLead(); err != nil {
+		return proto.Grant{}, err
+	}
+	return n.planner.Regrant(n.cfg.Clock(), n.model.Load(), a), nil
+}
+
+// Depart notes on the leader that an upstream leaves, and returns true once the state says so.
+func (n *Node) Depart(name string) (bool, error) {
+	n.ownerMu.Lock()
+	defer n.ownerMu.Unlock()
+	if err := n.mustLead(); err != nil {
+		return false, err
+	}
+	return n.planner.Depart(n.cfg.Clock(), n.model.Load(), name), nil
+}
+
+// Changed returns a channel that is closed with the next change of the model.
+func (n *Node) Changed() <-chan struct{} {
+	n.watchMu.Lock()
+	defer n.watchMu.Unlock()
+	return n.changed
+}
+
+// Leads returns nil while this replica may answer for the group, and an error with the code not_leader otherwise.
+func (n *Node) Leads() error {
+	if !n.leads(n.cfg.Clock()) {
+		return n.notLeader()
+	}
+	return nil
+}
+
 // Renew answers an entry host's renewal on the leader. received is the time at which it arrived.
 func (n *Node) Renew(received time.Duration, r owner.Renewal) (owner.Lease, error) {
 	n.ownerMu.Lock()
--- a/internal/node/join.go
+++ b/internal/node/join.go
@@ -43,7 +43,7 @@
 }
 
 func (n *Node) tryJoin(m raft.Member) (raft.Members, error) {
-	known := slices.Contains(n.cfg.Replicas, config.Replica{Host: m.Host, Address: m.Address})
+	known := n.cfg.Voters > 0 || slices.Contains(n.cfg.Replicas, config.Replica{Host: m.Host, Address: m.Address})
 	if m.ID == "" || !known {
 		return raft.Members{}, proto.NotRun(proto.CodeBadRequest, http.StatusBadRequest,
 			"host %s at %s is not one of the replicas in the settings", m.Host, m.Address)
@@ -77,7 +77,17 @@
 		return
 	}
 	next, ok := n.nextRemoval(now)
-	if !ok {
+	switch {
+	case ok:
+	case n.cfg.Voters > 0:
+		n.silent.observe(now, n.raft)
+		next, ok = n.raft.Members().NextReplacement(raft.Replacement{
+			Voters: n.cfg.Voters, Ready: n.mayPromote,
+			Live: func(id string) bool { return n.raft.IsLive(now, id) },
+			Lost: func(id string) bool { return n.silent.longer(now, id, VoterLostAfter) },
+			Gone: func(id string) bool { return n.silent.longer(now, id, LearnerGoneAfter) },
+		})
+	default:
 		next, ok = n.raft.Members().NextRepair(n.mayPromote)
 	}
 	if !ok {
@@ -90,6 +100,39 @@
 	n.cfg.Log.Info("changing members", "voters", ids(next.Voters), "learners", ids(next.Learners))
 }
 
+// Times of silence towards the leader. A replica that restarts is back within a second or two; within four seconds after
+// a lost one was replaced, another loss must be survived.
+const (
+	VoterLostAfter   = 1500 * time.Millisecond
+	LearnerGoneAfter = 10 * time.Second
+)
+
+// silences notes since when members have not answered the leader.
+type silences struct {
+	term  uint64
+	since map[string]time.Duration
+}
+
+func (s *silences) observe(now time.Duration, m *raft.Machine) {
+	if s.term != m.Term() || s.since == nil {
+		s.term, s.since = m.Term(), map[string]time.Duration{}
+	}
+	for _, x := range m.Members().All() {
+		_, silent := s.since[x.ID]
+		switch live := m.IsLive(now, x.ID); {
+		case live:
+			delete(s.since, x.ID)
+		case !silent:
+			s.since[x.ID] = now
+		}
+	}
+}
+
+func (s *silences) longer(now time.Duration, id string, d time.Duration) bool {
+	since, ok := s.since[id]
+	return ok && now-since >= d
+}
+
 // nextRemoval returns the list without one member of a host that an operator removed. A list whose voters the leader
 // does not reach is never proposed: it would be in force at once and could not be committed.
 func (n *Node) nextRemoval(now time.Duration) (raft.Members, bool) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -42,8 +42,11 @@
 	Members raft.Members
 	// Replicas are the control hosts of the settings; only they may join.
 	Replicas []config.Replica
-	Random   func(n int64) int64
-	Clock    func() time.Duration
+	// Voters is the number of voters to keep where replicas come and go without operators: any replica may join, learners
+	// are spares, and a voter that is lost for VoterLostAfter is replaced by one of them. 0 leaves that to operators.
+	Voters int
+	Random func(n int64) int64
+	Clock  func() time.Duration
 	// WallMs is the wall clock in milliseconds since the Unix epoch; used for request ids only, never for leases.
 	WallMs     func() int64
 	Send       func(to raft.Member, ms []raft.Message)
@@ -97,6 +100,7 @@
 	hard     raft.HardState
 	lastPlan time.Duration
 	planning bool
+	silent   silences
 
 	leaseUntil atomic.Int64
 	model      atomic.Pointer[model.State]
--- a/internal/owner/history.go
+++ b/internal/owner/history.go
@@ -57,7 +57,7 @@
 }
 
 func sameSettings(a, b *model.State) bool {
-	return a.Revision == b.Revision && maps.Equal(a.Services, b.Services) && maps.Equal(a.Drained, b.Drained) &&
+	return a.Revision == b.Revision && a.ItemsVersion == b.ItemsVersion && maps.Equal(a.Services, b.Services) && maps.Equal(a.Drained, b.Drained) &&
 		maps.Equal(a.StoppedDCs, b.StoppedDCs) && maps.Equal(a.Limits, b.Limits)
 }
 
--- a/internal/owner/moves.go
+++ b/internal/owner/moves.go
@@ -8,12 +8,11 @@
 
 	"baobabreach/internal/model"
 	"baobabreach/internal/state"
-	"baobabreach/pkg/proto"
 )
 
 // freshFor is the silence after which an upstream gets no new range, although its grant still runs: it has missed
 // one announcement. The other upstreams of a lost data centre fall silent at the same time.
-const freshFor = 2*proto.AnnounceInterval + proto.AnnounceInterval/4
+func (c Config) freshFor() time.Duration { return 2*c.AnnounceInterval + c.AnnounceInterval/4 }
 
 // slack is the share of the mean load by which measured loads must differ before a range is moved; smaller
 // differences come and go with the measurement.
@@ -47,9 +46,12 @@
 			continue
 		}
 		m := p.newPlan(now, s, service)
-		if len(m.loads) == 0 {
+		if len(m.loads) == 0 || m.awaitsFirst() {
 			continue
 		}
+		if s.Services[service].Ordered {
+			m.cutHot()
+		}
 		m.assignOpen()
 		budget -= m.releases(budget)
 		cs = append(cs, m.cs...)
@@ -94,7 +96,7 @@
 		}
 		m.loads[name] = 0
 		m.slots = min(m.slots, u.Slots)
-		if now < l.heard+freshFor {
+		if now < l.heard+p.cfg.freshFor() {
 			m.targets = append(m.targets, name)
 		} else {
 			stale = append(stale, name)
@@ -103,10 +105,59 @@
 	if len(m.targets) == 0 {
 		m.targets = stale
 	}
-	m.hot = p.load.hotKeys(service, m.slots)
+	if !s.Services[service].Ordered {
+		m.hot = p.load.hotKeys(service, m.slots)
+	}
 	return m
 }
 
+// awaitsFirst tells whether the service never had an owner and other upstreams may still announce themselves.
+func (m *plan) awaitsFirst() bool {
+	if m.p.cfg.FirstWait == 0 || len(m.ranges) == 0 {
+		return false
+	}
+	assigned := slices.ContainsFunc(m.ranges, func(a model.Assignment) bool { return a.Epoch > 0 })
+	return !assigned && m.now < m.p.firstHeard[m.ranges[0].Service]+m.p.cfg.FirstWait
+}
+
+const (
+	// cutShare is the share of the mean load of an upstream above which a range is cut, so that its parts can be
+	// spread. Three ranges below it can still be balanced to within a quarter.
+	cutShare = 0.2
+	// cutParts is the number of parts of a cut.
+	cutParts = 16
+	// maxRangesPerUpstream bounds the ranges of an ordered service: each is a row of a few dozen bytes in a grant, and
+	// upstreams read 4 KiB at most.
+	maxRangesPerUpstream = 40
+	// minCutBusy is the load in slots below which nothing is cut: the measurement of so little is mostly chance.
+	minCutBusy = 0.2
+)
+
+// cutHot cuts the ranges with much of the load into parts that stay with their owner until they are balanced.
+func (m *plan) cutHot() {
+	limit := max(minCutBusy, cutShare*m.busy/float64(len(m.loads)))
+	for _, a := range m.ranges {
+		if a.Phase != model.PhaseHeld || m.p.load.ranges[a.ID] <= limit || len(m.ranges) > maxRangesPerUpstream*len(m.loads) {
+			continue
+		}
+		if at := cutPoints(a); len(at) > 0 {
+			m.cs = append(m.cs, state.Command{Cut: &state.Cut{Range: a.ID, Epoch: a.Epoch, At: at}})
+			delete(m.p.load.ranges, a.ID)
+		}
+	}
+}
+
+// cutPoints returns the first positions of equal parts of whole keys, without that of the first part.
+func cutPoints(a model.Assignment) []uint64 {
+	keys := (a.Last-a.First)/model.OrderedSpan + 1
+	parts := min(keys, cutParts)
+	var at []uint64
+	for k := uint64(1); k < parts; k++ {
+		at = append(at, a.First+k*keys/parts*model.OrderedSpan)
+	}
+	return at
+}
+
 // weight returns the weight of a range in the balance.
 func (m *plan) weight(id uint64) int64 {
 	if m.busy == 0 {
@@ -165,9 +216,10 @@
 			m.split(a, h)
 			continue
 		}
-		name := m.lightest()
+		name := m.target(a.ID)
 		m.loads[name] += m.weight(a.ID)
 		if open {
+			delete(m.p.incoming, a.ID)
 			m.cs = append(m.cs, state.Command{Assign: &state.Assign{
 				Range: a.ID, Epoch: a.Epoch, Owner: name, Incarnation: m.s.Upstreams[name].Incarnation,
 			}})
@@ -175,6 +227,16 @@
 	}
 }
 
+// target returns the upstream that is to get a range: the one chosen when it was taken, if that can still get it.
+func (m *plan) target(id uint64) string {
+	if to, ok := m.p.incoming[id]; ok && slices.Contains(m.targets, to) {
+		return to
+	}
+	name := m.lightest()
+	m.p.incoming[id] = name
+	return name
+}
+
 // split gives the key a range of its own at the lightest upstream; the rest goes back to its owner.
 func (m *plan) split(a model.Assignment, hash uint64) {
 	rest := a.Owner
@@ -338,6 +400,7 @@
 		a := m.ranges[byOwner[from][k]]
 		byOwner[from] = slices.Delete(byOwner[from], k, k+1)
 		release(a)
+		m.p.incoming[a.ID] = to
 		m.loads[from] -= m.weight(a.ID)
 		m.loads[to] += m.weight(a.ID)
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -3,6 +3,7 @@
 package owner
 
 import (
+	"cmp"
 	"maps"
 	"net/http"
 	"slices"
@@ -70,6 +71,21 @@
 type Config struct {
 	// MaxMoves bounds the ranges that are being taken from live owners at once.
 	MaxMoves int
+	// GrantTTL and AnnounceInterval are the timing of the upstreams; zero values stand for that of package proto.
+	GrantTTL         time.Duration
+	AnnounceInterval time.Duration
+	// ReliableLives is true where a newer incarnation of a name, or another name at an address, proves that the earlier
+	// process has ended. Its ranges are then free at once.
+	ReliableLives bool
+	// FirstWait delays the first assignment of a service after its first upstream was heard, so that the others can
+	// be heard too.
+	FirstWait time.Duration
+}
+
+func (c Config) withDefaults() Config {
+	c.GrantTTL = cmp.Or(c.GrantTTL, proto.GrantTTL)
+	c.AnnounceInterval = cmp.Or(c.AnnounceInterval, proto.AnnounceInterval)
+	return c
 }
 
 // timing holds the waits that keep owners exclusive. Tests take single ones out to show that they are needed.
@@ -97,6 +113,14 @@
 	inFlight int
 	// released holds the fences given back whose ranges are still releasing.
 	released map[proto.Fence]bool
+	// sequence is that of the last announcement in order.
+	sequence uint64
+	// gone is true for an upstream that left without draining; its grant is not renewed.
+	gone bool
+	// holding is true if the last announcement listed rows, or did not tell.
+	holding bool
+	// next is a newer incarnation that waits for the removal of this one.
+	next *model.Upstream
 }
 
 type entryHost struct {
@@ -122,6 +146,12 @@
 	limits     *limit.Dealer
 	index      rangeIndex
 	list       daemonList
+	lives      lives
+	handovers  handovers
+	// incoming maps a range that is being taken from its owner to the upstream that is to get it.
+	incoming map[uint64]string
+	// firstHeard is when the first upstream of a service was heard by this leader.
+	firstHeard map[string]time.Duration
 }
 
 // New returns a planner that has just become the leader at the time now.
@@ -130,12 +160,14 @@
 }
 
 func newPlanner(cfg Config, t timing, now time.Duration) *Planner {
+	cfg = cfg.withDefaults()
 	p := &Planner{
 		cfg: cfg, timing: t, upstreams: map[string]*liveness{}, hosts: map[string]*entryHost{}, load: newLoad(),
-		limits: limit.NewDealer(now + t.margin(max(proto.GrantTTL, LeaseTTL))),
+		limits: limit.NewDealer(now + t.margin(max(cfg.GrantTTL, LeaseTTL))), lives: newLives(),
+		incoming: map[uint64]string{}, firstHeard: map[string]time.Duration{},
 	}
 	if t.waitPredecessor {
-		p.quietUntil = now + t.margin(max(proto.GrantTTL, LeaseTTL))
+		p.quietUntil = now + t.margin(max(cfg.GrantTTL, LeaseTTL))
 	}
 	return p
 }
@@ -147,24 +179,96 @@
 		Name: a.Name, Incarnation: a.Incarnation, Address: a.Address, DataCentre: a.DataCentre,
 		Service: a.Service, Slots: a.Slots, ChecksGrants: a.ChecksGrants,
 	}
+	if err := p.lives.admit(info); err != nil {
+		return proto.Grant{}, err
+	}
 	l, err := p.admitName(now, s, info)
 	if err != nil {
 		return proto.Grant{}, err
 	}
+	if p.cfg.ReliableLives {
+		p.endEarlierLives(now, s, info)
+	}
 	if l.info.Incarnation != info.Incarnation || l.removing {
 		// The earlier incarnation, or this one after a long silence, must be removed from the state first.
-		return proto.Grant{
-			TTLMs: proto.GrantTTL.Milliseconds(), NextMs: movingAnnounceInterval.Milliseconds(), Fences: []proto.Fence{},
-		}, nil
+		return p.emptyGrant(), nil
+	}
+	if a.Sequence > 0 && a.Sequence <= l.sequence {
+		return proto.Grant{}, proto.NotRun(proto.CodeSuperseded, http.StatusConflict,
+			"announcement %d of upstream %s came after %d", a.Sequence, a.Name, l.sequence)
+	}
+	l.sequence = a.Sequence
+	p.hear(now, s, l, a)
+	return p.grant(now, s, l, a), nil
+}
+
+// Regrant returns the grant for an announcement that was heard before, by a state that has changed since then.
+func (p *Planner) Regrant(now time.Duration, s *model.State, a proto.Announcement) proto.Grant {
+	p.observe(s)
+	l := p.upstreams[a.Name]
+	if l == nil || l.info.Incarnation != a.Incarnation || l.sequence != a.Sequence {
+		return p.emptyGrant()
+	}
+	return p.grant(now, s, l, a)
+}
+
+// Depart handles the farewell of an upstream that is about to end. It returns true once no entry host gets a table
+// any more from which it would send work there. What the upstream still holds stays its own until its grant ends.
+func (p *Planner) Depart(now time.Duration, s *model.State, name string) bool {
+	p.observe(s)
+	l := p.upstreams[name]
+	if l == nil {
+		return true
+	}
+	p.lives.end(l.info)
+	l.draining, l.gone = true, true
+	if !l.holding {
+		l.grantedUntil = min(l.grantedUntil, now)
+	}
+	u, ok := s.Upstreams[name]
+	return !ok || u.LeavingSince > 0
+}
+
+func (p *Planner) emptyGrant() proto.Grant {
+	return proto.Grant{
+		TTLMs: p.cfg.GrantTTL.Milliseconds(), NextMs: movingAnnounceInterval.Milliseconds(), Fences: []proto.Fence{},
+	}
+}
+
+// hear takes note of what an upstream says of itself.
+func (p *Planner) hear(now time.Duration, s *model.State, l *liveness, a proto.Announcement) {
+	l.gone = l.gone || a.Gone
+	if !l.gone {
+		l.grantedUntil = max(l.grantedUntil, now+p.timing.margin(p.cfg.GrantTTL))
 	}
-	l.grantedUntil = max(l.grantedUntil, now+p.timing.margin(proto.GrantTTL))
 	l.heard, l.known = max(l.heard, now), true
-	l.draining = l.draining || a.Draining
+	if _, ok := p.firstHeard[l.info.Service]; !ok {
+		p.firstHeard[l.info.Service] = now
+	}
+	l.draining = l.draining || a.Draining || a.Gone
 	l.inFlight = a.InFlight
 	for _, f := range a.Released {
 		l.released[f] = true
 	}
-	return p.grant(now, s, l), nil
+	l.holding = a.Rows == nil || len(*a.Rows) > 0
+	p.handovers.add(l.info.Service, a.Handovers)
+	if a.Rows != nil {
+		p.noteReleased(s, l, *a.Rows)
+	}
+}
+
+// noteReleased finds the ranges that the upstream no longer holds. The upstream sends its next announcement only after
+// it got or gave up on the answer to the last one, so nothing granted earlier is still on its way.
+func (p *Planner) noteReleased(s *model.State, l *liveness, rows []proto.Row) {
+	for _, i := range p.index.of(s, l.info.Name) {
+		a := &s.Ranges[i]
+		if a.Phase != model.PhaseReleasing || a.Incarnation != l.info.Incarnation {
+			continue
+		}
+		if !slices.ContainsFunc(rows, func(r proto.Row) bool { return r.Overlaps(a.First, a.Last) }) {
+			l.released[a.Fence()] = true
+		}
+	}
 }
 
 // admitName returns the record of the name. A record of a lower incarnation means that the announced one waits.
@@ -184,6 +288,12 @@
 		// because requests that it accepted may still run while it stops.
 		l.replaced = l.replaced || info.Incarnation > l.info.Incarnation
 		return l, nil
+	case p.cfg.ReliableLives && info.Incarnation > l.info.Incarnation:
+		l.replaced = true
+		return l, nil
+	case p.cfg.ReliableLives:
+		l.info.Address = info.Address
+		return l, nil
 	}
 	_, registered := s.Upstreams[info.Name]
 	if registered || now < l.grantedUntil {
@@ -199,16 +309,18 @@
 // that did not give them back, so the end of the grant protects nothing.
 const endlessTTL = 24 * time.Hour
 
-func (p *Planner) grant(now time.Duration, s *model.State, l *liveness) proto.Grant {
-	g := proto.Grant{
-		TTLMs: proto.GrantTTL.Milliseconds(), NextMs: proto.AnnounceInterval.Milliseconds(), Fences: []proto.Fence{},
-	}
+func (p *Planner) grant(now time.Duration, s *model.State, l *liveness, an proto.Announcement) proto.Grant {
+	g := p.emptyGrant()
+	g.NextMs = p.cfg.AnnounceInterval.Milliseconds()
 	registered, ok := s.Upstreams[l.info.Name]
 	if !ok || registered.Incarnation != l.info.Incarnation || registered.Address != l.info.Address {
-		g.Drained = l.draining
+		g.Drained, g.Leaving = l.draining, l.draining
 		g.NextMs = movingAnnounceInterval.Milliseconds()
 		return g
 	}
+	if an.Rows != nil {
+		g.Rows = []proto.Row{}
+	}
 	owned, home := 0, 0
 	for _, i := range p.index.of(s, registered.Name) {
 		a := &s.Ranges[i]
@@ -220,6 +332,10 @@
 			home++
 		}
 		if a.Phase == model.PhaseHeld {
+			if an.Rows != nil {
+				g.Rows = p.handovers.appendRows(g.Rows, a, *an.Rows)
+				continue
+			}
 			g.Fences = append(g.Fences, a.Fence())
 			continue
 		}
@@ -233,6 +349,8 @@
 	if owned > 0 && home == owned {
 		g.TTLMs = endlessTTL.Milliseconds()
 	}
+	g.Leaving = registered.LeavingSince > 0
+	g.Awaiting = p.awaits(s, l.info.Name)
 	g.Drained = owned == 0 && p.leaving(s, registered) &&
 		(!l.draining || (registered.LeavingSince > 0 && p.unused(now, registered.LeavingSince)))
 	return g
@@ -318,6 +436,10 @@
 			kept[s.Ranges[i].Fence()] = true
 		}
 	}
+	maps.DeleteFunc(p.incoming, func(id uint64, _ string) bool {
+		_, ok := s.RangeByID(id)
+		return !ok
+	})
 	for _, l := range p.upstreams {
 		maps.DeleteFunc(l.released, func(f proto.Fence, _ bool) bool { return !kept[f] })
 	}
@@ -333,6 +455,11 @@
 			continue
 		}
 		switch {
+		case l.next != nil:
+			p.upstreams[name] = &liveness{
+				info: *l.next, released: map[proto.Fence]bool{}, grantedUntil: now + p.timing.margin(p.cfg.GrantTTL),
+			}
+			cs = append(cs, state.Command{Register: l.next})
 		case now >= l.grantedUntil || l.removing || l.replaced:
 			delete(p.upstreams, name)
 		case !l.draining:
--- a/internal/peer/leader.go
+++ b/internal/peer/leader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,6 +21,9 @@
 	PathPropose  = "/control/v1/propose"
 	PathCrash    = "/control/v1/crash"
 	PathPermit   = "/control/v1/permit"
+	PathDepart   = "/control/v1/depart"
+	PathChange   = "/control/v1/change"
+	PathItems    = "/control/v1/items"
 )
 
 // LeaderClient sends messages to the leader and follows it when it changes. It is safe for concurrent use.
@@ -52,15 +56,34 @@
 	if l.addresses[l.current] != failed {
 		return
 	}
-	for i, a := range l.addresses {
-		if hint != "" && a == hint {
-			l.current = i
-			return
+	if hint != "" {
+		l.current = slices.Index(l.addresses, hint)
+		if l.current < 0 {
+			l.addresses, l.current = append(slices.Clone(l.addresses), hint), len(l.addresses)
 		}
+		return
 	}
 	l.current = (l.current + 1) % len(l.addresses)
 }
 
+// Prefer sends the next message to an address that is known to lead.
+func (l *LeaderClient) Prefer(address string) { l.report(l.Leader(), address) }
+
+// Skip moves on from an address that does not lead.
+func (l *LeaderClient) Skip(address string) { l.report(address, "") }
+
+// SetAddresses replaces the addresses of the replicas; as is not empty. The present leader stays in use.
+func (l *LeaderClient) SetAddresses(as []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	present := l.addresses[l.current]
+	l.addresses = slices.Clone(as)
+	l.current = slices.Index(as, present)
+	if l.current < 0 {
+		l.addresses, l.current = append(l.addresses, present), len(as)
+	}
+}
+
 // ToLeader sends q to the leader once, with at most timeout for the try.
 func ToLeader[Q, R any](ctx context.Context, l *LeaderClient, path string, timeout time.Duration, q Q) (R, error) {
 	address := l.Leader()
--- /dev/null
+++ b/internal/pipe/conn.go
@@ -0,0 +1,80 @@
+package pipe
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// defaultIdle is how long an idle connection is kept where the upstream states no timeout.
+	defaultIdle = 8 * time.Second
+	// idleMargin is the share of a stated timeout after which a connection is given up, so that a request does not
+	// cross the close.
+	idleMargin = 0.8
+	readBuffer = 4 << 10
+)
+
+// conn is a connection to an upstream that carries one request at a time.
+type conn struct {
+	net.Conn
+	br        *bufio.Reader
+	idleUntil time.Duration
+}
+
+func newConn(c net.Conn) *conn { return &conn{Conn: c, br: bufio.NewReaderSize(c, readBuffer)} }
+
+func (c *conn) close() { _ = c.Conn.Close() }
+
+// quiet tells whether an idle connection is open and has nothing to read. Bytes on it belong to no request.
+func (c *conn) quiet() bool {
+	if c.br.Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = err == unix.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
+
+// keepFor returns how long the connection may stay idle by the Keep-Alive header of an answer.
+func keepFor(header string) time.Duration {
+	for _, part := range strings.Split(header, ",") {
+		v, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if !ok {
+			continue
+		}
+		if n, err := strconv.Atoi(v); err == nil && n >= 0 {
+			return time.Duration(float64(n) * idleMargin * float64(time.Second))
+		}
+	}
+	return defaultIdle
+}
+
+// dial opens a connection; ctx bounds only the dialling.
+func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
+	p.count(func(s *Stats) { s.Dials++ })
+	c, err := p.cfg.Dial(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return newConn(c), nil
+}
--- a/internal/raft/members.go
+++ b/internal/raft/members.go
@@ -132,10 +132,8 @@
 // that shares its host with a later voter has lost its disk and is removed before anything else is changed.
 // Otherwise a learner for which synced returns true is promoted.
 func (m Members) NextRepair(synced func(id string) bool) (Members, bool) {
-	for i, v := range m.Voters {
-		if slices.ContainsFunc(m.Voters[i+1:], func(w Member) bool { return w.Host == v.Host }) {
-			return Members{Voters: slices.Delete(slices.Clone(m.Voters), i, i+1), Learners: m.Learners}, true
-		}
+	if i := m.wiped(); i >= 0 {
+		return m.withoutVoter(i), true
 	}
 	for i, l := range m.Learners {
 		if synced(l.ID) {
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -28,13 +28,16 @@
 	// StoppedDCs lists the data centres that an operator stopped.
 	StoppedDCs map[string]bool        `json:"stopped_dcs"`
 	Limits     map[string]model.Limit `json:"limits"`
+	// Routes is sorted as by model.SortRoutes.
+	Routes []model.Route `json:"routes,omitempty"`
+	Bounds model.Bounds  `json:"bounds"`
 }
 
 // NewTable returns the table of a state.
 func NewTable(s *model.State) *Table {
 	return &Table{
 		Version: s.Version, Revision: s.Revision, Services: s.Services, Upstreams: s.Upstreams, Ranges: s.Ranges,
-		Drained: s.Drained, StoppedDCs: s.StoppedDCs, Limits: s.Limits,
+		Drained: s.Drained, StoppedDCs: s.StoppedDCs, Limits: s.Limits, Routes: s.Routes, Bounds: s.Bounds,
 	}
 }
 
@@ -49,16 +52,21 @@
 
 // Owner returns the owner of a key, or Moving if there is none at present.
 func (t *Table) Owner(service, key string) Target {
-	i, ok := model.FindRange(t.Ranges, service, model.HashKey(service, key))
+	return t.OwnerAt(service, model.HashKey(service, key))
+}
+
+// OwnerAt returns the owner of a position. Upstream is set also while the range moves, if its last owner is known.
+func (t *Table) OwnerAt(service string, position uint64) Target {
+	i, ok := model.FindRange(t.Ranges, service, position)
 	if !ok {
 		return Target{Moving: true}
 	}
 	a := t.Ranges[i]
 	u, ok := t.Upstreams[a.Owner]
-	if !ok || a.Phase != model.PhaseHeld || u.Incarnation != a.Incarnation {
+	if !ok || u.Incarnation != a.Incarnation {
 		return Target{Assignment: a, Moving: true}
 	}
-	return Target{Upstream: u, Assignment: a}
+	return Target{Upstream: u, Assignment: a, Moving: a.Phase != model.PhaseHeld}
 }
 
 // Candidates returns the upstreams of a service that accept new work, sorted by name.
--- a/internal/state/ranges.go
+++ b/internal/state/ranges.go
@@ -63,6 +63,39 @@
 	Incarnation uint64    `json:"incarnation"`
 }
 
+// Cut divides a held range in place. The parts keep the owner and its epoch, so the owner notices nothing.
+type Cut struct {
+	Range uint64 `json:"range"`
+	Epoch uint64 `json:"epoch"`
+	// At holds the first position of each part but the first, ascending.
+	At []uint64 `json:"at"`
+}
+
+func (m *Machine) cut(index uint64, c Cut) Result {
+	i, ok := m.rangeIndex(c.Range)
+	if !ok || m.model.Ranges[i].Epoch != c.Epoch || m.model.Ranges[i].Phase != model.PhaseHeld {
+		return Result{}
+	}
+	old := m.model.Ranges[i]
+	first := old.First
+	var parts []model.Assignment
+	for k := range len(c.At) + 1 {
+		last := old.Last
+		if k < len(c.At) {
+			if c.At[k] <= first || c.At[k] > old.Last {
+				return Result{}
+			}
+			last = c.At[k] - 1
+		}
+		a := old
+		a.ID, a.First, a.Last, a.Changed = m.model.NextRangeID+uint64(k), first, last, index
+		parts = append(parts, a)
+		first = last + 1
+	}
+	m.ownsRanges = false
+	return m.change(m.withEpochs(m.model.WithReplaced(i, 1, parts), len(parts), 0))
+}
+
 func (m *Machine) applyRange(index uint64, c Command) Result {
 	switch {
 	case c.Assign != nil:
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -29,6 +29,8 @@
 	Outcome  *Outcome        `json:"outcome,omitempty"`
 	Plan     *PlanIntent     `json:"plan,omitempty"`
 	Confirm  *ConfirmIntent  `json:"confirm,omitempty"`
+	Cut      *Cut            `json:"cut,omitempty"`
+	Items    *model.Change   `json:"items,omitempty"`
 }
 
 // Claim asks for the right to send a non-idempotent request.
@@ -62,6 +64,8 @@
 	Claim   *claim.Result `json:"claim,omitempty"`
 	// Intent is the result of a plan or a confirmation.
 	Intent *intent.Result `json:"intent,omitempty"`
+	// Invalid is the reason why a change of items was refused.
+	Invalid string `json:"invalid,omitempty"`
 }
 
 // Machine holds the present state. It is not safe for concurrent use; the model it returns is immutable.
@@ -159,10 +163,26 @@
 		return m.planIntent(*c.Plan)
 	case c.Confirm != nil:
 		return m.confirmIntent(*c.Confirm, index)
+	case c.Cut != nil:
+		return m.cut(index, *c.Cut)
+	case c.Items != nil:
+		return m.changeItems(*c.Items)
 	}
 	return Result{}
 }
 
+// changeItems applies a change of items whole or not at all. One that was overtaken is applied without effect.
+func (m *Machine) changeItems(c model.Change) Result {
+	s, changed, err := m.model.WithChange(c)
+	if err != nil {
+		return Result{Invalid: err.Error()}
+	}
+	if changed {
+		m.model, m.ownsRanges = s, false
+	}
+	return Result{Applied: true}
+}
+
 func (m *Machine) change(s *model.State) Result {
 	m.model = s
 	return Result{Applied: true}
--- a/pkg/proto/proto.go
+++ b/pkg/proto/proto.go
@@ -69,8 +69,28 @@
 	InFlight     int  `json:"in_flight"`
 	// Released lists fences that the upstream gave back after its last request on them ended.
 	Released []Fence `json:"released,omitempty"`
+	// Sequence grows with each announcement of an incarnation, so that a late one is noticed; 0 if it isn't counted.
+	Sequence uint64 `json:"sequence,omitempty"`
+	// Rows is set by an upstream that lists what it holds or still works on in place of Released.
+	Rows *[]Row `json:"rows,omitempty"`
+	// Handovers lists what was given back since the last acknowledged announcement.
+	Handovers []Row `json:"handovers,omitempty"`
+	// Gone is true if the upstream left without draining. It keeps what it holds until the end of its grant.
+	Gone bool `json:"gone,omitempty"`
 }
 
+// Row is a part of the space of positions that an upstream holds, with both ends included.
+type Row struct {
+	First uint64 `json:"first"`
+	Last  uint64 `json:"last"`
+	Epoch uint64 `json:"epoch,omitempty"`
+	// Handover is a token of the last holder that spares the next one a cold start.
+	Handover string `json:"handover,omitempty"`
+}
+
+// Overlaps tells whether the row shares a position with first to last.
+func (r Row) Overlaps(first, last uint64) bool { return r.First <= last && first <= r.Last }
+
 // Grant answers an announcement. It replaces every earlier grant of the same incarnation.
 type Grant struct {
 	// TTLMs is counted from the moment the upstream sent the announcement.
@@ -83,4 +103,10 @@
 	Releasing []Fence `json:"releasing,omitempty"`
 	// Drained is true once a draining upstream owns nothing and receives no new work.
 	Drained bool `json:"drained"`
+	// Rows answers an announcement with Rows: everything that the upstream is to hold, sorted. Nil renews nothing.
+	Rows []Row `json:"rows"`
+	// Leaving is true once the state says that the upstream leaves, so that no successor of the leader forgets it.
+	Leaving bool `json:"leaving,omitempty"`
+	// Awaiting is true while the upstream is about to get a range that its last owner is giving back.
+	Awaiting bool `json:"awaiting,omitempty"`
 }
