Send less between daemons at rest and stop using owners that leave

Control traffic between zones: heartbeats every 50 ms, renewals every 300 ms, reports of single keys. Change: an entry host uses a leaving owner for one second; replicas beat every 100 ms, entry hosts renew every second and learn of changes by watching.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -168,6 +168,7 @@
 	return clients{
 		control: &http.Client{Transport: &http.Transport{
 			DialContext: countedDial(dial, m), MaxIdleConnsPerHost: maxIdlePerHost, IdleConnTimeout: idleConnectionTimeout,
+			DisableCompression: true,
 		}},
 		dispatch: &http.Client{Transport: &http.Transport{
 			DialContext: dial, MaxIdleConnsPerHost: maxDispatchConns, IdleConnTimeout: idleConnectionTimeout,
@@ -199,10 +200,14 @@
 	cfg config.Config, v *route.View, l *peer.LeaderClient, now Clock, g *entry.Guard, lim *limit.Host,
 	log *slog.Logger,
 ) *renewer {
+	interval := owner.RenewInterval
+	if cfg.Gateway != nil {
+		interval = gatewayRenew
+	}
 	return &renewer{
-		limits: lim,
-		self:   route.Daemon{Host: cfg.Host, DataCentre: cfg.DataCentre, Control: cfg.Control, Caller: cfg.Caller},
-		view:   v, leader: l, clock: now, log: logs.Part(log, "lease"), changed: make(chan struct{}), guard: g,
+		limits: lim, interval: interval,
+		self: route.Daemon{Host: cfg.Host, DataCentre: cfg.DataCentre, Control: cfg.Control, Caller: cfg.Caller},
+		view: v, leader: l, clock: now, log: logs.Part(log, "lease"), changed: make(chan struct{}), guard: g,
 	}
 }
 
@@ -304,13 +309,13 @@
 	}
 	log = logs.Part(log, "replica")
 	self := raft.Member{ID: loaded.Identity.ID, Host: cfg.Host, Address: cfg.Control}
-	planner, voters := owner.Config{MaxMoves: cfg.MaxMoves}, 0
+	planner, voters, timing := owner.Config{MaxMoves: cfg.MaxMoves}, 0, node.DefaultTiming
 	firstStart := true
 	if g := cfg.Gateway; g != nil {
 		// Hosts on a platform come and go under any name; a disk is known by the address that it is reached at.
 		self.Host, voters, firstStart = cfg.Control, gatewayVoters, g.FirstStart
 		cfg.Replicas = seedReplicas(cfg)
-		planner = gatewayPlanner(cfg)
+		planner, timing = gatewayPlanner(cfg), gatewayTiming
 	}
 	r.info.Store(&replicaInfo{Member: self, Members: loaded.Identity.Members, FirstStart: firstStart})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -327,7 +332,7 @@
 			Self: self, Store: st, Loaded: loaded, Members: ms, Replicas: cfg.Replicas, Random: rand.Int64N, Clock: now,
 			WallMs: func() int64 { return time.Now().UnixMilli() },
 			Send:   newSender(ctx, c.control, t.control).send, Log: log,
-			Planner: planner, Voters: voters, InitialSet: cfg.Services, InitialLimits: cfg.Limits,
+			Planner: planner, Voters: voters, Timing: timing, InitialSet: cfg.Services, InitialLimits: cfg.Limits,
 			Audit: ring,
 		})
 		if err != nil {
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -10,12 +10,12 @@
 	"time"
 
 	"baobabreach/internal/config"
-	"baobabreach/internal/entry"
 	"baobabreach/internal/errs"
 	"baobabreach/internal/gate"
 	"baobabreach/internal/limit"
 	"baobabreach/internal/logs"
 	"baobabreach/internal/metric"
+	"baobabreach/internal/node"
 	"baobabreach/internal/owner"
 	"baobabreach/internal/peer"
 	"baobabreach/internal/pipe"
@@ -33,6 +33,9 @@
 	// gatewayMoves bounds the ranges that are taken from live owners at once. Each is without an owner for about a
 	// heartbeat.
 	gatewayMoves = 6
+	// gatewayRenew is the time between two renewals of an entry host, which learns of changes by watching the leader.
+	gatewayRenew    = time.Second
+	gatewayLeaseTTL = 3500 * time.Millisecond
 	// firstWaitBeats is the number of heartbeats after which every upstream of a new service should have been heard.
 	firstWaitBeats = 1.3
 	// maxIdlePerUpstream bounds the idle connections of a host to one upstream.
@@ -44,6 +47,12 @@
 	directoryPause   = time.Second
 )
 
+// gatewayTiming halves the heartbeats of the default: bytes between data centres are paid for, and grants outlive the
+// longer elections.
+var gatewayTiming = node.Timing{
+	ElectionMin: 500 * time.Millisecond, ElectionMax: 800 * time.Millisecond, Heartbeat: 100 * time.Millisecond,
+}
+
 // Adapter is what a platform needs to say about its calls and headers.
 type Adapter struct {
 	Names pipe.Names
@@ -57,6 +66,7 @@
 	g := cfg.Gateway
 	return owner.Config{
 		MaxMoves: gatewayMoves, GrantTTL: g.GrantTTL, AnnounceInterval: g.Heartbeat, ReliableLives: true,
+		SlowAnnouncements: true, LeaseTTL: gatewayLeaseTTL,
 		FirstWait: time.Duration(firstWaitBeats * float64(g.Heartbeat)),
 	}
 }
@@ -276,7 +286,7 @@
 }
 
 // startGate keeps the table of an entry host fresh.
-func startGate(lc fx.Lifecycle, cfg config.Config, r *renewer, pool *pipe.Pool, _ *entry.Guard) {
+func startGate(lc fx.Lifecycle, cfg config.Config, r *renewer, pool *pipe.Pool, g *gate.Gate) {
 	if cfg.Caller == "" {
 		return
 	}
@@ -285,6 +295,7 @@
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			go every(ctx, sweepInterval, pool.Sweep)
+			go g.Follow(ctx)
 			return nil
 		},
 		OnStop: func(context.Context) error {
--- a/internal/daemon/renew.go
+++ b/internal/daemon/renew.go
@@ -26,6 +26,8 @@
 	clock  func() time.Duration
 	log    *slog.Logger
 	limits *limit.Host
+	// interval is the time between two renewals.
+	interval time.Duration
 	// changed asks for a renewal at once.
 	changed chan struct{}
 	guard   *entry.Guard
@@ -34,7 +36,7 @@
 // run renews the lease until ctx ends.
 func (r *renewer) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		wait := owner.RenewInterval
+		wait := r.interval
 		if err := r.renew(ctx); err != nil {
 			r.log.Debug("lease not renewed", "error", err)
 			wait = renewRetry
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -159,7 +159,7 @@
 		t, changed := c.gate.cfg.View.Table()
 		c.version = t.Version
 		to := t.OwnerAt(c.part, position)
-		if to.Upstream.Name == "" || !c.gate.cfg.Picker.Take(c.now(), to.Upstream) {
+		if to.Upstream.Name == "" || !c.gate.mayUse(c.now(), to.Upstream) || !c.gate.cfg.Picker.Take(c.now(), to.Upstream) {
 			if c.now() >= patience || !c.await(ctx, changed, patience-c.now()) {
 				return c.giveUp(ctx, proto.CodeNoUpstream, "the key has no owner that can be reached")
 			}
@@ -167,7 +167,7 @@
 		}
 		sent := c.now()
 		a, f := c.send(ctx, r, to.Upstream)
-		c.gate.cfg.View.Record(c.now(), c.part, position, to.Assignment.ID, c.now()-sent)
+		c.gate.cfg.View.RecordRange(c.now(), to.Assignment.ID, c.now()-sent)
 		if f == nil {
 			if !c.retriesAnswer(a) {
 				return reply{Answer: *a}
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -128,7 +128,7 @@
 		return owner.Lease{}, err
 	}
 	l := n.planner.Renew(received, n.model.Load(), r)
-	n.suspects.acknowledge(received, r)
+	n.suspects.acknowledge(received, time.Duration(l.TTLMs)*time.Millisecond, r)
 	if r.SuspectsVersion != n.suspects.board.Version(received) {
 		list := n.suspects.board.List(received)
 		l.Suspects = &list
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,6 +6,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"net/http"
@@ -55,6 +56,8 @@
 	InitialSet []model.Service
 	// InitialLimits are the limits of the settings; used, as InitialSet, only until the state holds settings.
 	InitialLimits []model.Limit
+	// Timing is DefaultTiming if zero.
+	Timing Timing
 	// Audit keeps the planner's decisions; nil keeps none.
 	Audit *audit.Ring
 }
@@ -120,6 +123,7 @@
 
 // New returns a node with what the store held.
 func New(cfg Config) (*Node, error) {
+	cfg.Timing = cmp.Or(cfg.Timing, DefaultTiming)
 	n := &Node{
 		cfg: cfg, inbox: make(chan []raft.Message, inboxLength), proposed: make(chan proposal, inboxLength),
 		joining: make(chan joinRequest), stopped: make(chan struct{}), state: state.New(),
@@ -133,13 +137,22 @@
 	}
 	n.raft = raft.New(raft.Config{
 		ID: cfg.Self.ID, Members: cfg.Members, Log: cfg.Loaded.Log, Hard: cfg.Loaded.Hard, Snapshot: cfg.Loaded.Snapshot,
-		ElectionMin: ElectionMin, ElectionMax: ElectionMax, Heartbeat: Heartbeat, Random: cfg.Random, Now: cfg.Clock(),
+		ElectionMin: cfg.Timing.ElectionMin, ElectionMax: cfg.Timing.ElectionMax, Heartbeat: cfg.Timing.Heartbeat, Random: cfg.Random, Now: cfg.Clock(),
 	})
 	n.publish()
 	return n, nil
 }
 
-// Timing of elections. The leader lease is ElectionMin less the clock-drift margin.
+// Timing is how fast a group notices the loss of its leader, and what that costs at rest.
+type Timing struct {
+	// ElectionMin less the clock-drift margin is the leader lease.
+	ElectionMin, ElectionMax, Heartbeat time.Duration
+}
+
+// DefaultTiming is used where Config has no timing.
+var DefaultTiming = Timing{ElectionMin: ElectionMin, ElectionMax: ElectionMax, Heartbeat: Heartbeat}
+
+// Default timing of elections.
 const (
 	ElectionMin = 300 * time.Millisecond
 	ElectionMax = 500 * time.Millisecond
--- a/internal/node/suspects.go
+++ b/internal/node/suspects.go
@@ -32,9 +32,9 @@
 	}
 }
 
-func (s *suspects) acknowledge(now time.Duration, r owner.Renewal) {
+func (s *suspects) acknowledge(now, ttl time.Duration, r owner.Renewal) {
 	old := s.hosts[r.Daemon.Host]
-	s.hosts[r.Daemon.Host] = ackedList{version: r.SuspectsVersion, until: now + proto.WithDrift(owner.LeaseTTL)}
+	s.hosts[r.Daemon.Host] = ackedList{version: r.SuspectsVersion, until: now + proto.WithDrift(ttl)}
 	if old.version != r.SuspectsVersion {
 		close(s.acked)
 		s.acked = make(chan struct{})
--- a/internal/owner/moves.go
+++ b/internal/owner/moves.go
@@ -229,7 +229,7 @@
 
 // target returns the upstream that is to get a range: the one chosen when it was taken, if that can still get it.
 func (m *plan) target(id uint64) string {
-	if to, ok := m.p.incoming[id]; ok && slices.Contains(m.targets, to) {
+	if to, ok := m.p.incoming[id]; ok && m.p.cfg.SlowAnnouncements && slices.Contains(m.targets, to) {
 		return to
 	}
 	name := m.lightest()
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -77,6 +77,11 @@
 	// ReliableLives is true where a newer incarnation of a name, or another name at an address, proves that the earlier
 	// process has ended. Its ranges are then free at once.
 	ReliableLives bool
+	// SlowAnnouncements is true where upstreams announce themselves so rarely that the answer to the next owner of a
+	// range waits for it. That owner is then chosen when the range is taken.
+	SlowAnnouncements bool
+	// LeaseTTL is the term of routing leases; zero stands for the constant of that name.
+	LeaseTTL time.Duration
 	// FirstWait delays the first assignment of a service after its first upstream was heard, so that the others can
 	// be heard too.
 	FirstWait time.Duration
@@ -84,6 +89,7 @@
 
 func (c Config) withDefaults() Config {
 	c.GrantTTL = cmp.Or(c.GrantTTL, proto.GrantTTL)
+	c.LeaseTTL = cmp.Or(c.LeaseTTL, LeaseTTL)
 	c.AnnounceInterval = cmp.Or(c.AnnounceInterval, proto.AnnounceInterval)
 	return c
 }
@@ -163,11 +169,11 @@
 	cfg = cfg.withDefaults()
 	p := &Planner{
 		cfg: cfg, timing: t, upstreams: map[string]*liveness{}, hosts: map[string]*entryHost{}, load: newLoad(),
-		limits: limit.NewDealer(now + t.margin(max(cfg.GrantTTL, LeaseTTL))), lives: newLives(),
+		limits: limit.NewDealer(now + t.margin(max(cfg.GrantTTL, cfg.LeaseTTL))), lives: newLives(),
 		incoming: map[uint64]string{}, firstHeard: map[string]time.Duration{},
 	}
 	if t.waitPredecessor {
-		p.quietUntil = now + t.margin(max(cfg.GrantTTL, LeaseTTL))
+		p.quietUntil = now + t.margin(max(cfg.GrantTTL, cfg.LeaseTTL))
 	}
 	return p
 }
@@ -376,8 +382,8 @@
 		h.load = *r.Load
 	}
 	h.revision = r.Revision
-	h.leasedUntil = max(h.leasedUntil, now+p.timing.margin(LeaseTTL))
-	l := Lease{TTLMs: LeaseTTL.Milliseconds(), Version: s.Version}
+	h.leasedUntil = max(h.leasedUntil, now+p.timing.margin(p.cfg.LeaseTTL))
+	l := Lease{TTLMs: p.cfg.LeaseTTL.Milliseconds(), Version: s.Version}
 	if ds, sum := p.liveDaemons(now, h); sum != r.DaemonsSum {
 		l.Daemons = ds
 	}
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -106,6 +106,8 @@
 		return a, errors.Wrap(err, "make request")
 	}
 	req.Header.Set("Content-Type", "application/json")
+	// An empty value keeps net/http from adding its own.
+	req.Header.Set("User-Agent", "")
 	if token != "" {
 		req.Header.Set("Authorization", "Bearer "+token)
 	}
--- a/internal/route/sketch.go
+++ b/internal/route/sketch.go
@@ -128,8 +128,12 @@
 }
 
 func (m *meter) add(now time.Duration, service string, hash, rangeID uint64, elapsed time.Duration) {
-	m.age(now)
+	m.addRange(now, rangeID, elapsed)
 	m.keys.add(keyID{service: service, hash: hash}, elapsed.Seconds())
+}
+
+func (m *meter) addRange(now time.Duration, rangeID uint64, elapsed time.Duration) {
+	m.age(now)
 	m.ranges.add(rangeID, elapsed.Seconds())
 }
 
--- a/internal/route/view.go
+++ b/internal/route/view.go
@@ -131,6 +131,13 @@
 	v.meter.add(now, service, hash, rangeID, elapsed)
 }
 
+// RecordRange is Record for an ordered service, whose ranges are cut without regard to single keys.
+func (v *View) RecordRange(now time.Duration, rangeID uint64, elapsed time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.meter.addRange(now, rangeID, elapsed)
+}
+
 // reportInterval is the time between two load reports. A report in each renewal would cost up to 10 KB/s.
 const reportInterval = time.Second
 
