Reload the settings on SIGHUP and keep queues of hot owners short

A hot key filled its owner's queue of twelve, so that most of its answers came after the objective. Change: SIGHUP and a changed file reload the seeds; ranges are granted only to upstreams that can be told at once; ranges are cut by the measured load of their parts; an owner that refuses or is slow gets one request at a time from each host.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -20,6 +20,8 @@
 
 // Config is the settings of one daemon.
 type Config struct {
+	// File is the settings file that the rest was read from.
+	File       string
 	Host       string
 	DataCentre string
 	// DataDir is empty on a host without a replica.
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -67,6 +67,7 @@
 
 func (r *reader) read() Config {
 	c := Config{
+		File:              r.name,
 		Host:              r.word("daemon", "host"),
 		DataCentre:        r.word("daemon", "data_centre"),
 		DataDir:           r.text("daemon", "data_dir", ""),
--- a/internal/daemon/directory.go
+++ b/internal/daemon/directory.go
@@ -77,6 +77,13 @@
 	return out
 }
 
+// setSeeds replaces the seeds of the settings.
+func (d *directory) setSeeds(seeds []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.seeds = seeds
+}
+
 func (d *directory) learn(ms raft.Members) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -105,7 +105,7 @@
 			newGatewayLogger, newClock, newTokens, newClients, newSeedClient, metric.New, route.NewView, newReplica, newRenewer,
 			limit.NewHost, newGuard, newAudit, newGate, newPipes, newDirectory, newRegistry,
 		),
-		fx.Invoke(startReplica, startGatewayListeners, startDirectory, startGate),
+		fx.Invoke(startReloader, startReplica, startGatewayListeners, startDirectory, startGate),
 	)
 }
 
--- a/internal/daemon/registry.go
+++ b/internal/daemon/registry.go
@@ -11,6 +11,7 @@
 	"baobabreach/internal/logs"
 	"baobabreach/internal/model"
 	"baobabreach/internal/node"
+	"baobabreach/internal/owner"
 	"baobabreach/internal/peer"
 	"baobabreach/internal/state"
 	"baobabreach/pkg/proto"
@@ -23,8 +24,6 @@
 	forwardTimeout = 850 * time.Millisecond
 	// leaveWait bounds the wait until the state says that an upstream leaves.
 	leaveWait = 700 * time.Millisecond
-	// awaitWait is how long the answer to an announcement waits for a range that is being given back.
-	awaitWait = 400 * time.Millisecond
 	// changeTimeout bounds a change of the configuration; operators wait a second, longer for large ones.
 	changeTimeout = 2 * time.Second
 )
@@ -123,38 +122,44 @@
 	if err != nil {
 		return proto.Grant{}, err
 	}
+	changed := n.Changed()
 	g, err := n.Announce(received, a)
 	for err == nil {
-		leaves := (a.Draining || a.Gone) && !g.Leaving
-		waited := r.clock() - received
-		if !leaves && !(g.Awaiting && waited < awaitWait) {
-			return g, nil
-		}
-		changed := n.Changed()
-		g, err = n.Regrant(a)
-		if err != nil || g.Leaving && !g.Awaiting || !leaves && !g.Awaiting {
-			continue
-		}
-		limit := awaitWait
-		if leaves {
-			limit = leaveWait
-		}
-		if waited >= limit {
-			break
+		left := r.keepBack(a, g) - (r.clock() - received)
+		if left <= 0 {
+			return g, r.mustLeave(a, g)
 		}
 		select {
 		case <-ctx.Done():
 			return proto.Grant{}, errors.Wrap(ctx.Err(), "announce")
 		case <-changed:
-		case <-time.After(limit - waited):
+		case <-time.After(left):
 		}
-	}
-	if err == nil {
-		err = proto.NotRun(proto.CodeNoLeader, http.StatusServiceUnavailable, "the leave of %s is not committed", a.Name)
+		changed = n.Changed()
+		g, err = n.Regrant(a)
 	}
 	return proto.Grant{}, err
 }
 
+// keepBack returns how long after the receipt an answer is kept back for a change that the upstream needs to know.
+func (r Registry) keepBack(a proto.Announcement, g proto.Grant) time.Duration {
+	switch {
+	case (a.Draining || a.Gone) && !g.Leaving:
+		return leaveWait
+	case g.Awaiting:
+		return owner.AwaitTime
+	}
+	return 0
+}
+
+// mustLeave refuses to acknowledge that an upstream leaves before the state says so.
+func (r Registry) mustLeave(a proto.Announcement, g proto.Grant) error {
+	if (a.Draining || a.Gone) && !g.Leaving {
+		return proto.NotRun(proto.CodeNoLeader, http.StatusServiceUnavailable, "the leave of %s is not committed", a.Name)
+	}
+	return nil
+}
+
 func (r Registry) departHere(ctx context.Context, name string) (struct{}, error) {
 	n, err := r.here()
 	if err != nil {
--- a/internal/daemon/renew.go
+++ b/internal/daemon/renew.go
@@ -15,6 +15,8 @@
 const (
 	renewTimeout = 250 * time.Millisecond
 	renewRetry   = 30 * time.Millisecond
+	// hotRenewWait shortens the wait of a renewal while the load is uneven.
+	hotRenewWait = 300 * time.Millisecond
 	watchTimeout = 10 * time.Second
 )
 
@@ -55,12 +57,16 @@
 	present, oldest := r.view.Versions()
 	table, _ := r.view.Table()
 	sentAt := r.clock()
-	l, err := peer.ToLeader[owner.Renewal, owner.Lease](ctx, r.leader, peer.PathRenew, r.wait+renewTimeout,
+	wait := r.wait
+	if r.view.Hot(sentAt) {
+		wait = min(wait, hotRenewWait)
+	}
+	l, err := peer.ToLeader[owner.Renewal, owner.Lease](ctx, r.leader, peer.PathRenew, wait+renewTimeout,
 		owner.Renewal{
 			Daemon: r.self, TableVersion: present, OldestVersion: oldest, Revision: table.Revision,
 			SuspectsVersion: r.guard.Version(), Load: r.view.Report(sentAt),
 			Demand: r.limits.Demand(sentAt), DaemonsSum: route.SumDaemons(r.view.Daemons()),
-			WaitMs: r.wait.Milliseconds(), Compact: r.wait > 0,
+			WaitMs: wait.Milliseconds(), Compact: r.wait > 0,
 		})
 	if err != nil {
 		return err
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -11,6 +11,7 @@
 
 	"baobabreach/internal/model"
 	"baobabreach/internal/pipe"
+	"baobabreach/internal/route"
 	"baobabreach/pkg/proto"
 
 	"github.com/go-faster/errors"
@@ -20,11 +21,11 @@
 	// defaultTimeout bounds a request before its route is known and without a deadline of the caller.
 	defaultTimeout = 30 * time.Second
 	// ownerWaitShare is the share of the latency objective that a keyed request waits for an owner.
-	ownerWaitShare = 0.6
+	ownerWaitShare = 0.75
 	// retryAfter tells callers when to come back after a refusal. Most causes are over within a second.
-	retryAfter = 300 * time.Millisecond
+	retryAfter = 120 * time.Millisecond
 	// ownerPause paces the sends to an owner that is about to get or lose the key.
-	ownerPause = 40 * time.Millisecond
+	ownerPause = 150 * time.Millisecond
 	// maxRefusals bounds the sends of one request that upstreams refused.
 	maxRefusals = 6
 )
@@ -156,29 +157,19 @@
 	position := model.OrderedPosition(uint16(key))
 	patience := c.started + time.Duration(ownerWaitShare*float64(c.route.ObjectiveMs))*time.Millisecond
 	for {
-		t, changed := c.gate.cfg.View.Table()
-		c.version = t.Version
-		to := t.OwnerAt(c.part, position)
-		if to.Upstream.Name == "" || !c.gate.mayUse(c.now(), to.Upstream) || !c.gate.cfg.Picker.Take(c.now(), to.Upstream) {
-			if c.now() >= patience || !c.await(ctx, changed, patience-c.now()) {
-				return c.giveUp(ctx, proto.CodeNoUpstream, "the key has no owner that can be reached")
-			}
-			continue
+		to, changed, code := c.takeOwner(ctx, position, patience)
+		if code != "" {
+			return c.giveUp(ctx, code, "the owner of the key can't take the request")
 		}
-		sent := c.now()
-		a, f := c.send(ctx, r, to.Upstream)
-		c.gate.cfg.View.RecordRange(c.now(), to.Assignment.ID, c.now()-sent)
+		a, f := c.sendKeyed(ctx, r, to, position)
 		if f == nil {
 			if !c.retriesAnswer(a) {
 				return reply{Answer: *a}
 			}
 			continue
 		}
-		if f.Stage == pipe.StageRefused && f.Status == http.StatusMisdirectedRequest {
-			// The owner does not hold the key yet, or no longer.
-			if c.now() >= patience || !c.await(ctx, changed, ownerPause) {
-				return c.giveUp(ctx, proto.CodeStaleGrant, f.Error())
-			}
+		if misdirected(f) && !c.awaitMove(ctx, to, position, patience, changed) {
+			return c.giveUp(ctx, proto.CodeStaleGrant, f.Error())
 		}
 		if !c.again(ctx, f) {
 			return c.giveUp(ctx, codeOf(f), f.Error())
@@ -186,6 +177,96 @@
 	}
 }
 
+// misdirected tells whether the upstream does not hold the key.
+func misdirected(f *pipe.Failure) bool {
+	return f.Stage == pipe.StageRefused && f.Status == http.StatusMisdirectedRequest
+}
+
+// takeOwner finds the owner of the key and waits until it has room. The code is empty if the request may be sent.
+func (c *call) takeOwner(
+	ctx context.Context, position uint64, patience time.Duration,
+) (route.Target, <-chan struct{}, proto.Code) {
+	// waiting is the owner that counts this request among those that wait for it.
+	var waiting model.Upstream
+	leave := func() {
+		if waiting.Name != "" {
+			c.gate.cfg.Picker.Leave(c.now(), waiting)
+			waiting = model.Upstream{}
+		}
+	}
+	for {
+		t, changed := c.gate.cfg.View.Table()
+		c.version = t.Version
+		to := t.OwnerAt(c.part, position)
+		known := to.Upstream.Name != "" && c.gate.mayUse(c.now(), to.Upstream)
+		if to.Upstream != waiting {
+			leave()
+		}
+		pause, code := patience-c.now(), proto.CodeNoUpstream
+		if known {
+			switch c.gate.cfg.Picker.Take(c.now(), to.Upstream, waiting.Name != "") {
+			case RoomFree:
+				return to, changed, ""
+			case RoomNone:
+				leave()
+				return to, changed, proto.CodeOverloaded
+			case RoomWait:
+				waiting, pause, code = to.Upstream, min(pause, roomPause), proto.CodeOverloaded
+			}
+		}
+		if c.now() >= patience || !c.await(ctx, changed, pause) {
+			leave()
+			return to, changed, code
+		}
+	}
+}
+
+// roomPause paces the checks for room at the owner of a key.
+const roomPause = 15 * time.Millisecond
+
+// sendKeyed makes one try at the owner of a key and takes note of its load.
+func (c *call) sendKeyed(
+	ctx context.Context, r *http.Request, to route.Target, position uint64,
+) (*pipe.Answer, *pipe.Failure) {
+	sent := c.now()
+	a, f := c.send(ctx, r, to.Upstream)
+	if f != nil && misdirected(f) {
+		return a, f
+	}
+	elapsed := c.now() - sent
+	load, usual := c.gate.work.observe(c.part, elapsed)
+	c.gate.cfg.View.RecordPosition(c.now(), to.Assignment, position, load)
+	if f == nil || f.Stage != pipe.StageRefused {
+		c.gate.cfg.Picker.Slow(c.now(), to.Upstream, elapsed, usual)
+	}
+	return a, f
+}
+
+// awaitMove waits until the key has another owner than the one that refused it, or that one may have learned of it.
+func (c *call) awaitMove(
+	ctx context.Context, was route.Target, position uint64, patience time.Duration, changed <-chan struct{},
+) bool {
+	again := c.now() + ownerPause
+	if was.Moving {
+		again = patience
+	}
+	for c.now() < patience {
+		if !c.await(ctx, changed, min(again, patience)-c.now()) {
+			return false
+		}
+		var t *route.Table
+		t, changed = c.gate.cfg.View.Table()
+		to := t.OwnerAt(c.part, position)
+		if to.Assignment.Epoch != was.Assignment.Epoch || c.now() >= again && !to.Moving {
+			return true
+		}
+		if to.Moving {
+			again = patience
+		}
+	}
+	return false
+}
+
 // await waits for a newer table, at most for d. It returns false if the request ended meanwhile.
 func (c *call) await(ctx context.Context, changed <-chan struct{}, d time.Duration) bool {
 	t := time.NewTimer(d)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -41,6 +41,7 @@
 	cfg      Config
 	buffered atomic.Int64
 	stopping atomic.Bool
+	work     *work
 
 	mu sync.Mutex
 	// leaving maps an upstream that leaves to when this host learned of it.
@@ -48,7 +49,9 @@
 }
 
 // New returns a gate.
-func New(cfg Config) *Gate { return &Gate{cfg: cfg, leaving: map[string]time.Duration{}} }
+func New(cfg Config) *Gate {
+	return &Gate{cfg: cfg, leaving: map[string]time.Duration{}, work: newWork()}
+}
 
 // Stop lets the gate ask callers to close their connections.
 func (g *Gate) Stop() { g.stopping.Store(true) }
--- a/internal/gate/pick.go
+++ b/internal/gate/pick.go
@@ -53,6 +53,10 @@
 	ejectedUntil time.Duration
 	pausedUntil  time.Duration
 	seen         time.Duration
+	// hotUntil, waiting and queueing concern owners of keys.
+	hotUntil time.Duration
+	waiting  int
+	queueing float64
 }
 
 // Picker chooses upstreams by the requests in flight, latencies and failures that this host saw. It is safe for
@@ -139,19 +143,80 @@
 	return sum / float64(n)
 }
 
-// Take counts a request in flight at an upstream that was not chosen by Pick. It returns false while the upstream is
-// ejected.
-func (p *Picker) Take(now time.Duration, u model.Upstream) bool {
+const (
+	// calmLimit and hotLimit bound the requests in flight from this host to the owner of a key. Twelve hosts with one
+	// each fill the slots of an owner and keep its queue short enough for the latency objective.
+	calmLimit = 3
+	hotLimit  = 1
+	// hotFor is how long an owner counts as hot after it refused a request or was slow.
+	hotFor = time.Second
+	// hotSlowdown is the latency, in multiples of the service's time without waiting, that shows a queue at the owner.
+	hotSlowdown = 2.5
+	// maxWaiting bounds the requests that wait at this host for one owner.
+	maxWaiting = 2
+)
+
+// Room tells what the owner of a key can take.
+type Room string
+
+const (
+	// RoomFree means that the request was counted in flight.
+	RoomFree Room = "free"
+	// RoomWait means that other requests must end first.
+	RoomWait Room = "wait"
+	// RoomNone means that no request should be sent or wait.
+	RoomNone Room = "none"
+)
+
+// Take counts a request in flight at an upstream that was not chosen by Pick, if there is room for it. waits is true
+// for a request that has been told to wait before.
+func (p *Picker) Take(now time.Duration, u model.Upstream, waits bool) Room {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.of(now, u)
+	limit := calmLimit
+	if now < h.hotUntil {
+		limit = hotLimit
+	}
+	switch {
+	case now < h.ejectedUntil:
+		return RoomNone
+	case h.inFlight < limit:
+		if waits {
+			h.waiting--
+		}
+		h.inFlight++
+		return RoomFree
+	case waits:
+		return RoomWait
+	case h.waiting >= maxWaiting:
+		return RoomNone
+	}
+	h.waiting++
+	return RoomWait
+}
+
+// Leave ends the wait of a request.
+func (p *Picker) Leave(now time.Duration, u model.Upstream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.of(now, u).waiting--
+}
+
+// Slow notes that the owner of a key took elapsed for a request that takes usual without waiting.
+func (p *Picker) Slow(now time.Duration, u model.Upstream, elapsed, usual time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.of(now, u)
-	if now < h.ejectedUntil {
-		return false
+	h.queueing += (min(2*hotSlowdown, float64(elapsed)/float64(max(1, usual))) - h.queueing) * queueingWeight
+	if h.queueing > hotSlowdown {
+		h.hotUntil = now + hotFor
 	}
-	h.inFlight++
-	return true
 }
 
+// queueingWeight is the weight of one request in the mean slowdown of an owner. A single straggler must not count.
+const queueingWeight = 0.3
+
 // Done ends a request that Pick or Take counted.
 func (p *Picker) Done(now time.Duration, u model.Upstream, r Result, elapsed time.Duration) {
 	p.mu.Lock()
@@ -178,6 +243,7 @@
 		}
 	case ResultRefused:
 		h.pausedUntil = now + refusedPause
+		h.hotUntil = now + hotFor
 	case ResultNeutral:
 	}
 }
--- a/internal/owner/lives.go
+++ b/internal/owner/lives.go
@@ -63,19 +63,62 @@
 	}
 }
 
-// awaits tells whether the upstream is to get a range that its owner has been told to give back.
-func (p *Planner) awaits(s *model.State, name string) bool {
+const (
+	// AwaitTime is how long the answer to an announcement is kept back for ranges that the upstream is about to get.
+	// Upstreams wait a second for it.
+	AwaitTime = 500 * time.Millisecond
+	// releaseTime is about how long an upstream takes to give a range back once it is told.
+	releaseTime = 120 * time.Millisecond
+)
+
+// awaits tells whether the upstream is to get a range that will be free before long. Upstreams count the time to the
+// next announcement from the answer, so keeping it back for longer would delay the range.
+func (p *Planner) awaits(now time.Duration, s *model.State, l *liveness) bool {
+	if !p.cfg.SlowAnnouncements || now >= l.presentUntil {
+		return false
+	}
 	for id, to := range p.incoming {
-		if to != name {
+		if to != l.info.Name {
 			continue
 		}
-		if i, ok := s.RangeByID(id); ok && s.Ranges[i].Phase == model.PhaseReleasing {
+		i, ok := s.RangeByID(id)
+		if !ok || s.Ranges[i].Phase == model.PhaseHeld {
+			continue
+		}
+		if p.freeAt(now, &s.Ranges[i]) < l.presentUntil {
 			return true
 		}
 	}
 	return false
 }
 
+// freeAt estimates when the range of a former owner is free.
+func (p *Planner) freeAt(now time.Duration, a *model.Assignment) time.Duration {
+	l := p.upstreams[a.Owner]
+	switch {
+	case a.Phase == model.PhaseFree || l == nil || p.free(now, *a):
+		return now
+	case l.gone || now > l.heard+p.cfg.freshFor():
+		return l.grantedUntil
+	}
+	return p.nextHeard(now, l) + releaseTime
+}
+
+// nextHeard estimates when the upstream announces itself next.
+func (p *Planner) nextHeard(now time.Duration, l *liveness) time.Duration {
+	return max(now, l.answered+p.cfg.AnnounceInterval)
+}
+
+// present tells whether a grant would reach the upstream at once. Otherwise a range would count as held, and be sent
+// requests, up to a heartbeat before its owner knows of it.
+func (p *Planner) present(now time.Duration, name string) bool {
+	if !p.cfg.SlowAnnouncements {
+		return true
+	}
+	l := p.upstreams[name]
+	return l != nil && now < l.presentUntil
+}
+
 // maxHandovers bounds the handover tokens that are kept. A lost one costs the next holder a cold start.
 const maxHandovers = 4096
 
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -36,12 +37,33 @@
 	at     time.Duration
 	keys   map[hotKey]float64
 	ranges map[uint64]float64
+	// parts is the load of equal parts of ranges of ordered services, where it was reported.
+	parts map[uint64][]float64
+	// seeds is the load of parts that were cut, until it has been measured for their own sake.
+	seeds map[hotKey]seed
 	// coldSince is when a range with the Hot mark became cold.
 	coldSince map[uint64]time.Duration
 	// merging maps each part to its merge.
 	merging map[uint64]*merge
 }
 
+type seed struct {
+	busy  float64
+	until time.Duration
+}
+
+// seedTime is how long the load of a part counts as it was before the cut; hosts need about that time to measure it.
+const seedTime = 2500 * time.Millisecond
+
+// of returns the load of a range in slots.
+func (l *load) of(now time.Duration, a *model.Assignment) float64 {
+	busy := l.ranges[a.ID]
+	if s, ok := l.seeds[hotKey{a.Service, a.First}]; ok && now < s.until {
+		return max(busy, s.busy)
+	}
+	return busy
+}
+
 type merge struct {
 	parts    []uint64
 	deadline time.Duration
@@ -49,7 +71,8 @@
 
 func newLoad() load {
 	return load{
-		at: -loadInterval, keys: map[hotKey]float64{}, ranges: map[uint64]float64{},
+		at: -loadInterval, keys: map[hotKey]float64{}, ranges: map[uint64]float64{}, parts: map[uint64][]float64{},
+		seeds:     map[hotKey]seed{},
 		coldSince: map[uint64]time.Duration{}, merging: map[uint64]*merge{},
 	}
 }
@@ -61,6 +84,8 @@
 	l.at = now
 	clear(l.keys)
 	clear(l.ranges)
+	clear(l.parts)
+	maps.DeleteFunc(l.seeds, func(_ hotKey, x seed) bool { return now >= x.until })
 	// Summed in a fixed order, because the rounding of the sums decides moves.
 	for _, name := range sortedKeys(hosts) {
 		addLoad(l, hosts[name].load)
@@ -73,6 +98,15 @@
 	}
 	for _, r := range r.Ranges {
 		l.ranges[r.Range] += r.Busy
+		if len(r.Parts) != route.LoadParts {
+			continue
+		}
+		if l.parts[r.Range] == nil {
+			l.parts[r.Range] = make([]float64, route.LoadParts)
+		}
+		for i, b := range r.Parts {
+			l.parts[r.Range][i] += b
+		}
 	}
 }
 
--- a/internal/owner/moves.go
+++ b/internal/owner/moves.go
@@ -18,6 +18,10 @@
 // differences come and go with the measurement.
 const slack = 0.2
 
+// orderedSlack is slack for upstreams that get a dozen requests a second each: their measured loads differ by a fifth by
+// chance alone.
+const orderedSlack = 0.3
+
 // upstreamsPerMove allows more moves at once in a large fleet, where each affects a smaller share of the keys.
 const upstreamsPerMove = 16
 
@@ -89,7 +93,7 @@
 		loads: map[string]int64{}, merged: map[uint64]bool{},
 	}
 	for i := range m.ranges {
-		m.busy += p.load.ranges[m.ranges[i].ID]
+		m.busy += p.load.of(now, &m.ranges[i])
 	}
 	var stale []string
 	for _, name := range sortedKeys(s.Upstreams) {
@@ -131,10 +135,8 @@
 	// cutShare is the share of the mean load of an upstream above which a range is cut, so that its parts can be
 	// spread. Three ranges below it can still be balanced to within a quarter.
 	cutShare = 0.25
-	// cutParts is the largest number of parts of a cut.
-	cutParts = 16
-	// cutSpread is the number of parts for each time that a range exceeds the limit.
-	cutSpread = 4
+	// cutFill is how full a piece may be of the load above which it would be cut again.
+	cutFill = 0.6
 	// maxRangesPerUpstream bounds the ranges of an ordered service: each is a row of a few dozen bytes in a grant, and
 	// upstreams read 4 KiB at most.
 	maxRangesPerUpstream = 40
@@ -145,39 +147,68 @@
 // cutHot cuts the ranges with much of the load into parts that stay with their owner until they are balanced.
 func (m *plan) cutHot() {
 	limit := max(minCutBusy, cutShare*m.busy/float64(len(m.loads)))
-	for _, a := range m.ranges {
-		if a.Phase != model.PhaseHeld || m.p.load.ranges[a.ID] <= limit || len(m.ranges) > maxRangesPerUpstream*len(m.loads) {
+	for i := range m.ranges {
+		a := &m.ranges[i]
+		parts := m.p.load.parts[a.ID]
+		busy := m.p.load.of(m.now, a)
+		if a.Phase != model.PhaseHeld || busy <= limit || len(parts) == 0 || len(m.ranges) > maxRangesPerUpstream*len(m.loads) {
 			continue
 		}
-		if at := cutPoints(a, m.p.load.ranges[a.ID]/limit); len(at) > 0 {
-			m.cs = append(m.cs, state.Command{Cut: &state.Cut{Range: a.ID, Epoch: a.Epoch, At: at}})
-			delete(m.p.load.ranges, a.ID)
+		at, loads := cutPoints(a, parts, limit*cutFill)
+		if len(at) == 0 {
+			continue
+		}
+		m.cs = append(m.cs, state.Command{Cut: &state.Cut{Range: a.ID, Epoch: a.Epoch, At: at}})
+		for k, first := range append([]uint64{a.First}, at...) {
+			m.p.load.seeds[hotKey{a.Service, first}] = seed{busy: loads[k], until: m.now + seedTime}
 		}
+		delete(m.p.load.ranges, a.ID)
+		delete(m.p.load.parts, a.ID)
 	}
 }
 
-// cutPoints returns the first positions of equal parts of whole keys, without that of the first part. A range is cut
-// into more parts the more its load exceeds the limit, since most of it may lie in one of them.
-func cutPoints(a model.Assignment, excess float64) []uint64 {
+// cutPoints joins the equal parts of a range to pieces of at most most, and returns the first positions of all pieces
+// but the first, and the load of each piece.
+func cutPoints(a *model.Assignment, parts []float64, most float64) (at []uint64, loads []float64) {
 	keys := (a.Last-a.First)/model.OrderedSpan + 1
-	parts := uint64(2)
-	for parts < cutParts && float64(parts) < cutSpread*excess {
-		parts *= 2
-	}
-	parts = min(keys, parts)
-	var at []uint64
-	for k := uint64(1); k < parts; k++ {
-		at = append(at, a.First+k*keys/parts*model.OrderedSpan)
+	n := min(keys, uint64(len(parts)))
+	step := uint64(len(parts)) / n
+	for k := range n {
+		busy := 0.0
+		for j := k * step; j < (k+1)*step; j++ {
+			busy += parts[j]
+		}
+		if last := len(loads) - 1; last >= 0 && loads[last]+busy <= most {
+			loads[last] += busy
+			continue
+		}
+		if k > 0 {
+			at = append(at, a.First+k*keys/n*model.OrderedSpan)
+		}
+		loads = append(loads, busy)
 	}
-	return at
+	return at, loads
 }
 
 // weight returns the weight of a range in the balance.
-func (m *plan) weight(id uint64) int64 {
+func (m *plan) weight(a *model.Assignment) int64 {
+	base := int64(rangeWeight)
+	n := float64(len(m.ranges))
+	if m.ordered() {
+		n = model.OrderedRanges
+		base = int64(idleShare * rangeWeight * n * (float64(a.Last-a.First) / math.MaxUint64))
+	}
 	if m.busy == 0 {
-		return rangeWeight
+		return max(1, base)
 	}
-	return rangeWeight + int64(rangeWeight*m.p.load.ranges[id]*float64(len(m.ranges))/m.busy)
+	return base + int64(rangeWeight*m.p.load.of(m.now, a)*n/m.busy)
+}
+
+// idleShare is the part of the weight of an ordered service's range that its width has whatever its load.
+const idleShare = 0.15
+
+func (m *plan) ordered() bool {
+	return len(m.ranges) > 0 && m.s.Services[m.ranges[0].Service].Ordered
 }
 
 // eligible tells whether the upstream may own ranges.
@@ -211,10 +242,10 @@
 		if a.Phase != model.PhaseHeld {
 			waiting = append(waiting, *a)
 		} else if _, ok := m.loads[a.Owner]; ok {
-			m.loads[a.Owner] += m.weight(a.ID)
+			m.loads[a.Owner] += m.weight(a)
 		}
 	}
-	slices.SortStableFunc(waiting, func(a, b model.Assignment) int { return cmp.Compare(m.weight(b.ID), m.weight(a.ID)) })
+	slices.SortStableFunc(waiting, func(a, b model.Assignment) int { return cmp.Compare(m.weight(&b), m.weight(&a)) })
 	for _, a := range waiting {
 		if m.merged[a.ID] {
 			continue
@@ -231,8 +262,8 @@
 			continue
 		}
 		name := m.target(a.ID)
-		m.loads[name] += m.weight(a.ID)
-		if open {
+		m.loads[name] += m.weight(&a)
+		if open && m.p.present(m.now, name) {
 			delete(m.p.incoming, a.ID)
 			m.cs = append(m.cs, state.Command{Assign: &state.Assign{
 				Range: a.ID, Epoch: a.Epoch, Owner: name, Incarnation: m.s.Upstreams[name].Incarnation,
@@ -257,7 +288,7 @@
 	if !slices.Contains(m.targets, rest) {
 		rest = m.lightest()
 	}
-	total := m.weight(a.ID)
+	total := m.weight(&a)
 	busy := 1.0
 	if r := m.p.load.ranges[a.ID]; r > 0 {
 		busy = min(1, m.p.load.keys[hotKey{a.Service, hash}]/r)
@@ -288,7 +319,7 @@
 	for _, a := range m.ranges {
 		if slices.Contains(g.parts, a.ID) && a.Phase != model.PhaseHeld && m.p.free(m.now, a) {
 			parts = append(parts, state.Release{Range: a.ID, Epoch: a.Epoch})
-			weight += m.weight(a.ID)
+			weight += m.weight(&a)
 		}
 	}
 	if len(parts) < len(g.parts) {
@@ -399,9 +430,13 @@
 		if _, ok := m.loads[a.Owner]; ok && a.Phase == model.PhaseHeld && !taken[a.ID] {
 			byOwner[a.Owner] = append(byOwner[a.Owner], i)
 		}
-		total += m.weight(a.ID)
+		total += m.weight(a)
 	}
 	tolerance := int64(0)
+	slack := slack
+	if m.ordered() {
+		slack = orderedSlack
+	}
 	if m.busy > 0 {
 		tolerance = int64(slack * float64(total) / float64(len(m.loads)))
 	}
@@ -412,20 +447,58 @@
 			return
 		}
 		a := m.ranges[byOwner[from][k]]
+		to = m.soonest(from, to, m.weight(&a))
 		byOwner[from] = slices.Delete(byOwner[from], k, k+1)
 		release(a)
 		m.p.incoming[a.ID] = to
-		m.loads[from] -= m.weight(a.ID)
-		m.loads[to] += m.weight(a.ID)
+		m.loads[from] -= m.weight(&a)
+		m.loads[to] += m.weight(&a)
 	}
 }
 
+// soonest returns the upstream that can get a range with the shortest time without an owner, among those that are
+// about as light as the lightest. The owner gives the range back with its next announcement, and the next owner gets it
+// in the answer to one of its own.
+func (m *plan) soonest(from, lightest string, w int64) string {
+	if !m.p.cfg.SlowAnnouncements {
+		return lightest
+	}
+	best, shortest := lightest, m.gap(from, lightest)
+	room := (m.loads[from]-m.loads[lightest])/soonestRoom + m.loads[lightest]
+	for _, name := range m.targets {
+		if name == from || m.loads[name]+w > m.loads[from]-w || m.loads[name] > room {
+			continue
+		}
+		if g := m.gap(from, name); g < shortest {
+			best, shortest = name, g
+		}
+	}
+	return best
+}
+
+// soonestRoom allows an upstream that is up to a third of the difference heavier than the lightest one.
+const soonestRoom = 3
+
+// gap estimates how long a range has no owner when it moves.
+func (m *plan) gap(from, to string) time.Duration {
+	a, b, interval := m.p.upstreams[from], m.p.upstreams[to], m.p.cfg.AnnounceInterval
+	if a == nil || b == nil {
+		return interval
+	}
+	free := m.p.nextHeard(m.now, a) + releaseTime
+	at := m.p.nextHeard(m.now, b)
+	for at < free-AwaitTime {
+		at += interval
+	}
+	return max(0, at-free)
+}
+
 // bestMove returns the position in held of the range whose move leaves the smallest difference, or -1 if none
 // lowers it.
 func (m *plan) bestMove(held []int, difference int64) int {
 	best, left := -1, difference
 	for k, i := range held {
-		w := m.weight(m.ranges[i].ID)
+		w := m.weight(&m.ranges[i])
 		if rest := max(difference-2*w, 2*w-difference); rest < left {
 			best, left = k, rest
 		}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -133,6 +133,12 @@
 	gone bool
 	// holding is true if the last announcement listed rows, or did not tell.
 	holding bool
+	// presentUntil is when the answer to the last announcement is given at the latest; in the past once it was given.
+	presentUntil time.Duration
+	// answered is when the last announcement was answered.
+	answered time.Duration
+	// rows are those of the first answer to the last announcement.
+	rows []proto.Row
 	// next is a newer incarnation that waits for the removal of this one.
 	next *model.Upstream
 }
@@ -216,7 +222,11 @@
 	}
 	l.sequence = a.Sequence
 	p.hear(now, s, l, a)
-	return p.grant(now, s, l, a), nil
+	l.presentUntil = now + AwaitTime
+	g := p.grant(now, s, l, a)
+	l.rows = g.Rows
+	p.settle(now, s, l, &g)
+	return g, nil
 }
 
 // Regrant returns the grant for an announcement that was heard before, by a state that has changed since then.
@@ -226,7 +236,18 @@
 	if l == nil || l.info.Incarnation != a.Incarnation || l.sequence != a.Sequence {
 		return p.emptyGrant()
 	}
-	return p.grant(now, s, l, a)
+	g := p.grant(now, s, l, a)
+	p.settle(now, s, l, &g)
+	return g
+}
+
+// settle decides whether the answer is kept back.
+func (p *Planner) settle(now time.Duration, s *model.State, l *liveness, g *proto.Grant) {
+	g.Awaiting = slices.Equal(l.rows, g.Rows) && p.awaits(now, s, l)
+	l.answered = now
+	if !g.Awaiting {
+		l.presentUntil = now
+	}
 }
 
 // Depart handles the farewell of an upstream that is about to end. It returns true once no entry host gets a table
@@ -372,7 +393,6 @@
 		g.TTLMs = endlessTTL.Milliseconds()
 	}
 	g.Leaving = registered.LeavingSince > 0
-	g.Awaiting = p.awaits(s, l.info.Name)
 	g.Drained = owned == 0 && p.leaving(s, registered) &&
 		(!l.draining || (registered.LeavingSince > 0 && p.unused(now, registered.LeavingSince)))
 	return g
--- a/internal/route/sketch.go
+++ b/internal/route/sketch.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"baobabreach/internal/model"
 )
 
 // counter is one monitored key of a sketch.
@@ -103,8 +105,13 @@
 type RangeLoad struct {
 	Range uint64  `json:"range"`
 	Busy  float64 `json:"busy"`
+	// Parts is the load of LoadParts equal parts of a range of an ordered service, for the busiest of them.
+	Parts []float64 `json:"parts,omitempty"`
 }
 
+// LoadParts is the number of parts that the load of a busy range is divided by.
+const LoadParts = 16
+
 // Load is what an entry host reports of its keyed requests.
 type Load struct {
 	Keys   []HotKey    `json:"keys,omitempty"`
@@ -120,12 +127,14 @@
 type meter struct {
 	keys   *sketch[keyID]
 	ranges *sketch[uint64]
+	// parts divides the load of ordered ranges by position.
+	parts map[uint64]*[LoadParts]float64
 	// since is the start of the running window.
 	since time.Duration
 }
 
 func newMeter() *meter {
-	return &meter{keys: newSketch[keyID](monitored), ranges: newSketch[uint64](monitored)}
+	return &meter{keys: newSketch[keyID](monitored), ranges: newSketch[uint64](monitored), parts: map[uint64]*[LoadParts]float64{}}
 }
 
 func (m *meter) add(now time.Duration, service string, hash, rangeID uint64, elapsed time.Duration) {
@@ -138,11 +147,67 @@
 	m.ranges.add(rangeID, elapsed.Seconds())
 }
 
+// addPosition counts load of an ordered range at a position in it.
+func (m *meter) addPosition(now time.Duration, a model.Assignment, position uint64, elapsed time.Duration) {
+	m.addRange(now, a.ID, elapsed)
+	ps := m.parts[a.ID]
+	if ps == nil {
+		ps = new([LoadParts]float64)
+		m.parts[a.ID] = ps
+	}
+	i := LoadParts * (float64(position-a.First) / (float64(a.Last-a.First) + 1))
+	ps[min(LoadParts-1, int(i))] += elapsed.Seconds()
+}
+
+const (
+	// hotShare is the share of one range of the load of all from which the load counts as uneven, and hotBusy the load of
+	// the range in slots of this host.
+	hotShare = 0.12
+	hotBusy  = 0.05
+)
+
+func (m *meter) hot(now time.Duration) bool {
+	m.age(now)
+	sum, most := 0.0, 0.0
+	for _, c := range m.ranges.counters {
+		sum, most = sum+c.weight, max(most, c.weight-c.over)
+	}
+	return most/m.span(now) > hotBusy && most > hotShare*sum
+}
+
+// minPartsBusy is the load in slots of one host from which the parts of a range are reported.
+const minPartsBusy = 0.015
+
+// reportedParts bounds the ranges with parts in a report.
+const reportedParts = 6
+
+func (m *meter) partsOf(id uint64, span float64) []float64 {
+	ps := m.parts[id]
+	if ps == nil {
+		return nil
+	}
+	out := make([]float64, LoadParts)
+	for i, x := range ps {
+		out[i] = round(x / span)
+	}
+	return out
+}
+
 // age halves the counts once per window that has passed.
 func (m *meter) age(now time.Duration) {
 	for range min((now-m.since)/loadWindow, 64) {
 		m.keys.scale(0.5)
 		m.ranges.scale(0.5)
+		for id, ps := range m.parts {
+			sum := 0.0
+			for i := range ps {
+				ps[i] /= 2
+				sum += ps[i]
+			}
+			if sum < minPartsBusy/4 {
+				delete(m.parts, id)
+			}
+		}
 	}
 	m.since += (now - m.since) / loadWindow * loadWindow
 }
@@ -164,9 +229,13 @@
 			l.Keys = append(l.Keys, HotKey{Service: c.key.service, Hash: c.key.hash, Busy: b, PerSecond: c.count / span})
 		}
 	}
-	for _, c := range m.ranges.top(reportedRanges) {
+	for i, c := range m.ranges.top(reportedRanges) {
 		if b := (c.weight - c.over) / span; b > 0.001 {
-			l.Ranges = append(l.Ranges, RangeLoad{Range: c.key, Busy: round(b)})
+			r := RangeLoad{Range: c.key, Busy: round(b)}
+			if i < reportedParts && b >= minPartsBusy {
+				r.Parts = m.partsOf(c.key, span)
+			}
+			l.Ranges = append(l.Ranges, r)
 		}
 	}
 	return l
--- a/internal/route/view.go
+++ b/internal/route/view.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"baobabreach/internal/model"
+
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -145,21 +147,39 @@
 	v.meter.add(now, service, hash, rangeID, elapsed)
 }
 
-// RecordRange is Record for an ordered service, whose ranges are cut without regard to single keys.
-func (v *View) RecordRange(now time.Duration, rangeID uint64, elapsed time.Duration) {
+// RecordPosition is Record for an ordered service, whose ranges are cut without regard to single keys.
+func (v *View) RecordPosition(now time.Duration, a model.Assignment, position uint64, elapsed time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.meter.addRange(now, rangeID, elapsed)
+	v.meter.addPosition(now, a, position, elapsed)
 }
 
-// reportInterval is the time between two load reports. A report in each renewal would cost up to 10 KB/s.
-const reportInterval = 1500 * time.Millisecond
+const (
+	// reportInterval is the time between two load reports. A report in each renewal would cost up to 10 KB/s.
+	reportInterval = time.Second
+	// hotInterval is the same while a range has much of the load of this host.
+	hotInterval = 300 * time.Millisecond
+)
+
+// Hot tells whether the load is so uneven that the leader should hear of it soon.
+func (v *View) Hot(now time.Duration) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.meter.hot(now)
+}
+
+func (v *View) reportDue(now time.Duration) time.Duration {
+	if v.meter.hot(now) {
+		return v.reported + hotInterval
+	}
+	return v.reported + reportInterval
+}
 
 // Report returns the measured load at the time now, or nil if the last report is younger than reportInterval.
 func (v *View) Report(now time.Duration) *Load {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.reported > 0 && now-v.reported < reportInterval {
+	if v.reported > 0 && now < v.reportDue(now) {
 		return nil
 	}
 	v.reported = now
--- a/pkg/proto/proto.go
+++ b/pkg/proto/proto.go
@@ -107,6 +107,6 @@
 	Rows []Row `json:"rows"`
 	// Leaving is true once the state says that the upstream leaves, so that no successor of the leader forgets it.
 	Leaving bool `json:"leaving,omitempty"`
-	// Awaiting is true while the upstream is about to get a range that its last owner is giving back.
+	// Awaiting is true while the answer may be kept back because ranges of the service move.
 	Awaiting bool `json:"awaiting,omitempty"`
 }
