Keep keys of an upstream that takes its leave until its grant has ended; test the gateway's parts

Cause: a farewell freed the keys at once if the last report listed none, though the answer to it, or an earlier leader, had granted some.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -200,12 +200,12 @@
 	cfg config.Config, v *route.View, l *peer.LeaderClient, now Clock, g *entry.Guard, lim *limit.Host,
 	log *slog.Logger,
 ) *renewer {
-	interval, wait := owner.RenewInterval, time.Duration(0)
+	interval, retry, wait := owner.RenewInterval, renewRetry, time.Duration(0)
 	if cfg.Gateway != nil {
-		interval, wait = gatewayRenewPause, gatewayRenewWait
+		interval, retry, wait = gatewayRenewPause, gatewayRenewRetry, gatewayRenewWait
 	}
 	return &renewer{
-		limits: lim, interval: interval, wait: wait,
+		limits: lim, interval: interval, retry: retry, wait: wait,
 		self: route.Daemon{Host: cfg.Host, DataCentre: cfg.DataCentre, Control: cfg.Control, Caller: cfg.Caller},
 		view: v, leader: l, clock: now, log: logs.Part(log, "lease"), changed: make(chan struct{}), guard: g,
 	}
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -36,6 +36,8 @@
 	// gatewayRenewWait is how long a renewal waits at the leader for a change, gatewayRenewPause the time between two.
 	gatewayRenewWait  = time.Second
 	gatewayRenewPause = 20 * time.Millisecond
+	// gatewayRenewRetry paces the search for a leader by a hundred hosts with links of 2 Mbit/s.
+	gatewayRenewRetry = 80 * time.Millisecond
 	gatewayLeaseTTL   = 3500 * time.Millisecond
 	// firstWaitBeats is the number of heartbeats after which every upstream of a new service should have been heard.
 	firstWaitBeats = 1.3
--- a/internal/daemon/renew.go
+++ b/internal/daemon/renew.go
@@ -30,6 +30,11 @@
 	limits *limit.Host
 	// interval is the time between two renewals.
 	interval time.Duration
+	// retry is the pause after a renewal that failed.
+	retry time.Duration
+	// lost is true from a failed renewal, at lostAt, to the next one that succeeds.
+	lost   bool
+	lostAt time.Duration
 	// wait is how long the leader may keep the answer to a renewal back; 0 where changes are watched apart.
 	wait time.Duration
 	// changed asks for a renewal at once.
@@ -41,9 +46,10 @@
 func (r *renewer) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait := r.interval
-		if err := r.renew(ctx); err != nil {
-			r.log.Warn("lease not renewed", "error", err, "leader", r.leader.Leader())
-			wait = renewRetry
+		err := r.renew(ctx)
+		r.note(err)
+		if err != nil {
+			wait = r.retry
 		}
 		select {
 		case <-ctx.Done():
@@ -53,6 +59,20 @@
 	}
 }
 
+// note logs when the leader is lost and found again, and nothing in between.
+func (r *renewer) note(err error) {
+	now := r.clock()
+	version, _ := r.view.Versions()
+	switch {
+	case err != nil && !r.lost:
+		r.lost, r.lostAt = true, now
+		r.log.Warn("leader lost", "error", err, "leader", r.leader.Leader(), "table", version)
+	case err == nil && r.lost:
+		r.lost = false
+		r.log.Info("leader found", "leader", r.leader.Leader(), "after_ms", (now - r.lostAt).Milliseconds(), "table", version)
+	}
+}
+
 func (r *renewer) renew(ctx context.Context) error {
 	present, oldest := r.view.Versions()
 	table, _ := r.view.Table()
--- /dev/null
+++ b/internal/gate/pick_test.go
@@ -0,0 +1,105 @@
+package gate_test
+
+import (
+	"testing"
+	"time"
+
+	"baobabreach/internal/gate"
+	"baobabreach/internal/model"
+
+	"github.com/matryer/is"
+)
+
+func pool(n int, dataCentre string) []model.Upstream {
+	var us []model.Upstream
+	for i := range n {
+		us = append(us, model.Upstream{
+			Name: dataCentre + string(rune('0'+i)), Incarnation: 1, DataCentre: dataCentre, Slots: 3,
+		})
+	}
+	return us
+}
+
+func newPicker() *gate.Picker { return gate.NewPicker("a", func(int) int { return 0 }) }
+
+// Guards against a choice that fills one upstream while others are idle, and against bytes between data centres while
+// there is room in the own one.
+func TestPickSpreadsAndStaysInTheDataCentre(t *testing.T) {
+	is := is.New(t)
+	p := newPicker()
+	us := append(pool(2, "a"), pool(2, "b")...)
+	count := map[string]int{}
+	for range 8 {
+		u, ok := p.Pick(time.Second, us, nil)
+		is.True(ok)
+		count[u.Name]++
+	}
+	is.Equal(count["a0"], 3)
+	is.Equal(count["a1"], 3)
+	is.Equal(count["b0"]+count["b1"], 2)
+}
+
+// Guards against a failing upstream that goes on getting requests, and against ejections that leave too few.
+func TestFailingUpstreamsAreEjected(t *testing.T) {
+	is := is.New(t)
+	p := newPicker()
+	us := pool(3, "a")
+	for range 3 {
+		is.Equal(p.Take(time.Second, us[0], false), gate.RoomFree)
+		p.Done(time.Second, us[0], gate.ResultFailed, time.Millisecond)
+	}
+	for range 6 {
+		u, _ := p.Pick(time.Second, us, nil)
+		is.True(u.Name != "a0")
+	}
+	is.Equal(p.Take(time.Second, us[0], false), gate.RoomNone)
+	is.Equal(p.Take(2*time.Second, us[0], false), gate.RoomFree)
+	// All upstreams fail: none may be left out.
+	for _, u := range us[1:] {
+		for range 3 {
+			p.Take(time.Second, u, false)
+			p.Done(time.Second, u, gate.ResultFailed, time.Millisecond)
+		}
+	}
+	_, ok := p.Pick(time.Second, us, nil)
+	is.True(ok)
+}
+
+// Guards against a queue at the owner of a hot key that makes all its answers late.
+func TestHotOwnersGetOneRequestAtATime(t *testing.T) {
+	is := is.New(t)
+	p := newPicker()
+	u := pool(1, "a")[0]
+	is.Equal(p.Take(time.Second, u, false), gate.RoomFree)
+	p.Done(time.Second, u, gate.ResultRefused, time.Millisecond)
+	is.Equal(p.Take(time.Second, u, false), gate.RoomFree)
+	is.Equal(p.Take(time.Second, u, false), gate.RoomWait)
+	is.Equal(p.Take(time.Second, u, false), gate.RoomWait)
+	is.Equal(p.Take(time.Second, u, false), gate.RoomNone)
+	p.Done(time.Second, u, gate.ResultDone, time.Millisecond)
+	is.Equal(p.Take(time.Second, u, true), gate.RoomFree)
+	p.Leave(time.Second, u)
+	is.Equal(p.Take(time.Second, u, false), gate.RoomWait)
+	// The owner counts as hot for a second.
+	is.Equal(p.Take(3*time.Second, u, true), gate.RoomFree)
+}
+
+// Guards against more repeated sends than all hosts together may make.
+func TestBudgetIsSharedByTheHosts(t *testing.T) {
+	is := is.New(t)
+	const hosts, requests = 12, 500
+	cfg := gate.BudgetConfig{Ratio: 0.2, Slack: 64, Window: 10 * time.Second}
+	resends := 0
+	for range hosts {
+		b := gate.NewBudget(cfg)
+		for i := range requests {
+			now := time.Duration(i) * 10 * time.Second / requests
+			b.Started(now, "orders", hosts)
+			for b.Take(now, "orders", hosts) {
+				resends++
+			}
+		}
+	}
+	is.True(float64(resends) <= cfg.Ratio*hosts*requests+cfg.Slack)
+	is.True(resends > hosts)
+}
--- /dev/null
+++ b/internal/model/items_test.go
@@ -0,0 +1,115 @@
+package model_test
+
+import (
+	"encoding/json"
+	"testing"
+
+	"baobabreach/internal/model"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+)
+
+func service(version uint64) model.Item[model.Service] {
+	return model.Item[model.Service]{Version: version, Value: model.Service{Name: "styles"}}
+}
+
+func routeItem(version uint64, prefix string, timeoutMs int64) model.Item[model.Route] {
+	return model.Item[model.Route]{
+		Version: version, Source: json.RawMessage(`{"Name":"r"}`),
+		Value: model.Route{
+			Name: "r", Host: "a.example", Prefix: prefix, TimeoutMs: timeoutMs, Attempts: 2, Version: version,
+			Parts: []model.Part{{Service: "styles", Weight: 1}},
+		},
+	}
+}
+
+func withRoute(t *testing.T, s *model.State, i model.Item[model.Route]) *model.State {
+	t.Helper()
+	out, _, err := s.WithChange(model.Change{Routes: map[string]model.Item[model.Route]{"r": i}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+func configured(t *testing.T) *model.State {
+	t.Helper()
+	s, _, err := model.NewState().WithChange(model.Change{
+		Services: map[string]model.Item[model.Service]{"styles": service(1)},
+		Routes:   map[string]model.Item[model.Route]{"r": routeItem(3, "/x/", 100)},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// Guards against a late or equal version that replaces a newer one, and against a dropped item that comes back.
+func TestHighestVersionOfAnItemWins(t *testing.T) {
+	is := is.New(t)
+	s := configured(t)
+	is.Equal(withRoute(t, s, routeItem(2, "/old/", 100)), s)
+	is.Equal(withRoute(t, s, routeItem(3, "/other/", 100)), s)
+	s = withRoute(t, s, routeItem(5, "/new/", 100))
+	is.Equal(s.Routes[0].Prefix, "/new/")
+	s = withRoute(t, s, model.Item[model.Route]{Version: 7, Dropped: true})
+	is.Equal(len(s.Routes), 0)
+	s = withRoute(t, s, routeItem(6, "/new/", 100))
+	is.Equal(len(s.Routes), 0)
+}
+
+// Guards against a part of an invalid change that comes into force, and against a refusal of an order that was
+// overtaken since it was accepted.
+func TestInvalidChangesAreRefusedWhole(t *testing.T) {
+	s := configured(t)
+	same := routeItem(4, "/x/", 100)
+	same.Value.Name = "twin"
+	for name, c := range map[string]model.Change{
+		"no timeout":      {Routes: map[string]model.Item[model.Route]{"r": routeItem(4, "/x/", 0)}},
+		"no slash":        {Routes: map[string]model.Item[model.Route]{"r": routeItem(4, "x/", 100)}},
+		"same place":      {Routes: map[string]model.Item[model.Route]{"twin": same}},
+		"service dropped": {Services: map[string]model.Item[model.Service]{"styles": {Version: 9, Dropped: true}}},
+		"unknown service": {Routes: map[string]model.Item[model.Route]{"r": {Version: 4, Value: model.Route{
+			Name: "r", Host: "a", Prefix: "/", TimeoutMs: 1, Parts: []model.Part{{Service: "none", Weight: 1}},
+		}}}},
+		"weight below 0": {Routes: map[string]model.Item[model.Route]{"r": {Version: 4, Value: model.Route{
+			Name: "r", Host: "a", Prefix: "/", TimeoutMs: 1, Parts: []model.Part{{Service: "styles", Weight: -1}},
+		}}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c.Bounds = &model.Item[model.Bounds]{Version: 9, Value: model.Bounds{BodyBytes: 1}}
+			out, changed, err := s.WithChange(c)
+			is.True(errors.Is(err, model.ErrInvalid))
+			is.True(!changed)
+			is.Equal(out, s)
+		})
+	}
+	t.Run("overtaken", func(t *testing.T) {
+		is := is.New(t)
+		// The service of the older version is gone, but the newer version no longer names it.
+		old := routeItem(2, "/x/", 100)
+		old.Value.Parts = []model.Part{{Service: "gone", Weight: 1}}
+		is.Equal(withRoute(t, s, old), s)
+	})
+}
+
+// Guards against ordered ranges that do not start with a key, and against a route order that hides a longer prefix.
+func TestOrderedServicesAndRoutes(t *testing.T) {
+	is := is.New(t)
+	s := model.NewState().WithService(model.Service{
+		Name: "styles", Keyed: true, Ordered: true, Ranges: model.OrderedRanges,
+	})
+	is.Equal(len(s.Ranges), model.OrderedRanges)
+	for _, a := range s.Ranges {
+		is.Equal(a.First%model.OrderedSpan, uint64(0))
+	}
+	i, ok := s.Find("styles", model.OrderedPosition(65535))
+	is.True(ok)
+	is.Equal(i, model.OrderedRanges-1)
+	rs := []model.Route{{Host: "a", Prefix: "/"}, {Host: "a", Prefix: "/x/y/"}, {Host: "a", Prefix: "/x/"}}
+	model.SortRoutes(rs)
+	is.Equal(rs[0].Prefix, "/x/y/")
+	is.Equal(rs[2].Prefix, "/")
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -137,7 +137,7 @@
 	presentUntil time.Duration
 	// answered is when the last announcement was answered.
 	answered time.Duration
-	// rows are those of the first answer to the last announcement.
+	// rows are those of the answer to the last announcement.
 	rows []proto.Row
 	// next is a newer incarnation that waits for the removal of this one.
 	next *model.Upstream
@@ -244,6 +244,7 @@
 // settle decides whether the answer is kept back.
 func (p *Planner) settle(now time.Duration, s *model.State, l *liveness, g *proto.Grant) {
 	g.Awaiting = slices.Equal(l.rows, g.Rows) && p.awaits(now, s, l)
+	l.rows = g.Rows
 	l.answered = now
 	if !g.Awaiting {
 		l.presentUntil = now
@@ -260,7 +261,7 @@
 	}
 	p.lives.end(l.info)
 	l.draining, l.gone = true, true
-	if !l.holding {
+	if l.known && !l.holding && len(l.rows) == 0 {
 		l.grantedUntil = min(l.grantedUntil, now)
 	}
 	u, ok := s.Upstreams[name]
--- /dev/null
+++ b/internal/raft/replace_test.go
@@ -0,0 +1,75 @@
+package raft_test
+
+import (
+	"slices"
+	"testing"
+
+	"baobabreach/internal/raft"
+
+	"github.com/matryer/is"
+)
+
+func member(id string) raft.Member { return raft.Member{ID: id, Host: id, Address: id} }
+
+func names(ms []raft.Member) []string {
+	out := []string{}
+	for _, m := range ms {
+		out = append(out, m.ID)
+	}
+	return out
+}
+
+// Guards against a group that stays one loss away from its end after a replica is gone for good, that counts a spare
+// as a voter while nobody is lost, and that removes a voter it can't commit without.
+func TestReplacementOfLostVoters(t *testing.T) {
+	for _, c := range []struct {
+		name                         string
+		voters, learners, lost, gone []string
+		ready                        bool
+		want                         []string
+		change                       bool
+	}{
+		{"nobody is lost", []string{"a", "b", "c"}, []string{"d"}, nil, nil, true, []string{"a", "b", "c"}, false},
+		{"a spare is promoted first", []string{"a", "b", "c"}, []string{"d"}, []string{"c"}, nil, true, []string{"a", "b", "c", "d"}, true},
+		{"a spare that lags is not promoted", []string{"a", "b", "c"}, []string{"d"}, []string{"c"}, nil, false, []string{"a", "b", "c"}, false},
+		{"then the lost one is removed", []string{"a", "b", "c", "d"}, nil, []string{"c"}, nil, true, []string{"a", "b", "d"}, true},
+		{"no spare", []string{"a", "b", "c"}, nil, []string{"c"}, nil, true, []string{"a", "b", "c"}, false},
+		{"too few are live", []string{"a", "b", "c", "d"}, nil, []string{"b", "c", "d"}, nil, true, []string{"a", "b", "c", "d"}, false},
+		{"a silent learner is forgotten", []string{"a", "b", "c"}, []string{"d"}, nil, []string{"d"}, true, []string{"a", "b", "c"}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var ms raft.Members
+			for _, id := range c.voters {
+				ms.Voters = append(ms.Voters, member(id))
+			}
+			for _, id := range c.learners {
+				ms.Learners = append(ms.Learners, member(id))
+			}
+			lost := func(id string) bool { return slices.Contains(c.lost, id) }
+			next, change := ms.NextReplacement(raft.Replacement{
+				Voters: 3, Ready: func(string) bool { return c.ready }, Lost: lost,
+				Live: func(id string) bool { return !lost(id) },
+				Gone: func(id string) bool { return slices.Contains(c.gone, id) },
+			})
+			is.Equal(change, c.change)
+			is.Equal(names(next.Voters), c.want)
+		})
+	}
+}
+
+// Guards against a host with an emptied disk that votes under two identities.
+func TestReplacementOfAWipedDisk(t *testing.T) {
+	is := is.New(t)
+	never := func(string) bool { return false }
+	always := func(string) bool { return true }
+	wiped := raft.Member{ID: "c2", Host: "c", Address: "c"}
+	ms := raft.Members{Voters: []raft.Member{member("a"), member("b"), member("c")}, Learners: []raft.Member{wiped}}
+	r := raft.Replacement{Voters: 3, Ready: always, Live: always, Lost: never, Gone: never}
+	ms, ok := ms.NextReplacement(r)
+	is.True(ok)
+	is.Equal(names(ms.Voters), []string{"a", "b", "c", "c2"})
+	ms, ok = ms.NextReplacement(r)
+	is.True(ok)
+	is.Equal(names(ms.Voters), []string{"a", "b", "c2"})
+}
