Publish tables every 100 ms and give raft messages an address of their own

Four elections ran between 47.4 and 50.3 s: 89 hosts asked for whole tables of ever new versions, each packed for itself, timed out after 250 ms and asked again, and their connections filled the queue that raft messages wait in too. Ruled out: start-up of the processes (43.1 to 43.6 s). Change: one table per 100 ms, packed once; two seconds for a first table; spread retries; a port for raft.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -311,13 +311,15 @@
 	}
 	log = logs.Part(log, "replica")
 	self := raft.Member{ID: loaded.Identity.ID, Host: cfg.Host, Address: cfg.Control}
-	planner, voters, timing := owner.Config{MaxMoves: cfg.MaxMoves}, 0, node.DefaultTiming
+	planner, voters, timing, publish := owner.Config{MaxMoves: cfg.MaxMoves}, 0, node.DefaultTiming, time.Duration(0)
 	firstStart := true
+	raftAddress := func(control string) string { return control }
 	if g := cfg.Gateway; g != nil {
 		// Hosts on a platform come and go under any name; a disk is known by the address that it is reached at.
 		self.Host, voters, firstStart = cfg.Control, gatewayVoters, g.FirstStart
 		cfg.Replicas = seedReplicas(cfg)
-		planner, timing = gatewayPlanner(cfg), gatewayTiming
+		raftAddress = nextPort
+		planner, timing, publish = gatewayPlanner(cfg), gatewayTiming, gatewayPublish
 	}
 	r.info.Store(&replicaInfo{Member: self, Members: loaded.Identity.Members, FirstStart: firstStart})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -333,8 +335,9 @@
 		n, err := node.New(node.Config{
 			Self: self, Store: st, Loaded: loaded, Members: ms, Replicas: cfg.Replicas, Random: rand.Int64N, Clock: now,
 			WallMs: func() int64 { return time.Now().UnixMilli() },
-			Send:   newSender(ctx, c.control, t.control).send, Log: log,
-			Planner: planner, Voters: voters, Timing: timing, InitialSet: cfg.Services, InitialLimits: cfg.Limits,
+			Send:   newSender(ctx, c.control, t.control, raftAddress).send, Log: log,
+			Planner: planner, Voters: voters, Timing: timing, PublishInterval: publish,
+			InitialSet: cfg.Services, InitialLimits: cfg.Limits,
 			Audit: ring,
 		})
 		if err != nil {
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"time"
 
@@ -37,8 +38,10 @@
 	gatewayRenewWait  = time.Second
 	gatewayRenewPause = 20 * time.Millisecond
 	// gatewayRenewRetry paces the search for a leader by a hundred hosts with links of 2 Mbit/s.
-	gatewayRenewRetry = 80 * time.Millisecond
-	gatewayLeaseTTL   = 3500 * time.Millisecond
+	gatewayRenewRetry = 200 * time.Millisecond
+	// gatewayPublish is the least time between two tables. Upstreams that leave serve for two seconds more.
+	gatewayPublish  = 100 * time.Millisecond
+	gatewayLeaseTTL = 3500 * time.Millisecond
 	// firstWaitBeats is the number of heartbeats after which every upstream of a new service should have been heard.
 	firstWaitBeats = 1.3
 	// maxIdlePerUpstream bounds the idle connections of a host to one upstream.
@@ -97,6 +100,15 @@
 	return out
 }
 
+// nextPort returns the address with the port after the given one, or "" if it can't be read.
+func nextPort(address string) string {
+	a, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return ""
+	}
+	return netip.AddrPortFrom(a.Addr(), a.Port()+1).String()
+}
+
 // NewGateway returns the application of a daemon on a platform.
 func NewGateway(cfg config.Config, dial Dial, ad Adapter) *fx.App {
 	return fx.New(
@@ -157,7 +169,6 @@
 // gatewayRouter serves the other daemons of a platform.
 func gatewayRouter(c control, r Registry, o operate) http.Handler {
 	m := mux.NewRouter()
-	m.Handle(peer.PathRaft, peer.Handle(peer.MaxRaftBytes, c.raft)).Methods(http.MethodPost)
 	m.Handle(peer.PathReplica, peer.Handle(peer.MaxBodyBytes, c.replica)).Methods(http.MethodPost)
 	m.Handle(peer.PathJoin, peer.Handle(peer.MaxBodyBytes, c.join)).Methods(http.MethodPost)
 	m.Handle(peer.PathRenew, peer.Handle(peer.MaxBodyBytes, c.renew)).Methods(http.MethodPost)
@@ -173,6 +184,13 @@
 	return requireToken(c.token, m)
 }
 
+// raftRouter serves the other replicas.
+func raftRouter(c control) http.Handler {
+	m := mux.NewRouter()
+	m.Handle(peer.PathRaft, peer.Handle(peer.MaxRaftBytes, c.raft)).Methods(http.MethodPost)
+	return requireToken(c.token, m)
+}
+
 type gatewayParams struct {
 	fx.In
 
@@ -239,6 +257,9 @@
 	operator.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { p.Metrics.WriteText(w) })
 	o.server().Mount(operator)
 	add("control", p.Config.Control, gatewayRouter(p.control(), p.Registry, o))
+	if p.Config.IsReplica() {
+		add("raft", nextPort(p.Config.Control), raftRouter(p.control()))
+	}
 	add("operator", p.Config.Operator, requireToken(p.Tokens.operator, operator))
 	add("registry", p.Config.Gateway.Registry, p.Adapter.Registry(p.Registry))
 	callers := add("caller", p.Config.Caller, p.Gate)
--- a/internal/daemon/renew.go
+++ b/internal/daemon/renew.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"time"
 
 	"baobabreach/internal/entry"
@@ -49,7 +50,8 @@
 		err := r.renew(ctx)
 		r.note(err)
 		if err != nil {
-			wait = r.retry
+			// Spread, so that a hundred hosts that lost the leader at once do not come back at once.
+			wait = r.retry/2 + rand.N(r.retry)
 		}
 		select {
 		case <-ctx.Done():
@@ -59,6 +61,17 @@
 	}
 }
 
+// firstTableTimeout covers a whole table over a slow link, while other hosts start too.
+const firstTableTimeout = 2 * time.Second
+
+// timeout bounds a renewal that the leader may keep back for wait.
+func (r *renewer) timeout(version uint64, wait time.Duration) time.Duration {
+	if version == 0 && r.wait > 0 {
+		return firstTableTimeout
+	}
+	return wait + renewTimeout
+}
+
 // note logs when the leader is lost and found again, and nothing in between.
 func (r *renewer) note(err error) {
 	now := r.clock()
@@ -81,7 +94,7 @@
 	if r.view.Hot(sentAt) {
 		wait = min(wait, hotRenewWait)
 	}
-	l, err := peer.ToLeader[owner.Renewal, owner.Lease](ctx, r.leader, peer.PathRenew, wait+renewTimeout,
+	l, err := peer.ToLeader[owner.Renewal, owner.Lease](ctx, r.leader, peer.PathRenew, r.timeout(table.Version, wait),
 		owner.Renewal{
 			Daemon: r.self, TableVersion: present, OldestVersion: oldest, Revision: table.Revision,
 			SuspectsVersion: r.guard.Version(), Load: r.view.Report(sentAt),
--- a/internal/daemon/send.go
+++ b/internal/daemon/send.go
@@ -16,17 +16,22 @@
 )
 
 // sender delivers raft messages in order, one worker per replica, so that a slow replica delays no other.
+//
+// On a platform replicas reach each other at an address of their own: hundreds of hosts that connect at the same moment
+// after a loss of power would otherwise fill the queue of new connections and keep the replicas from electing a leader.
 type sender struct {
 	client *http.Client
 	token  string
 	ctx    context.Context
+	// address maps the control address of a replica to the one for raft messages.
+	address func(control string) string
 
 	mu     sync.Mutex
 	queues map[string]chan []raft.Message
 }
 
-func newSender(ctx context.Context, client *http.Client, token string) *sender {
-	return &sender{client: client, token: token, ctx: ctx, queues: map[string]chan []raft.Message{}}
+func newSender(ctx context.Context, client *http.Client, token string, address func(string) string) *sender {
+	return &sender{client: client, token: token, ctx: ctx, address: address, queues: map[string]chan []raft.Message{}}
 }
 
 // send queues messages. Messages that find the queue full are lost, as on a network.
@@ -46,7 +51,7 @@
 }
 
 func (s *sender) work(address string, q chan []raft.Message) {
-	url := "http://" + address + peer.PathRaft
+	url := "http://" + s.address(address) + peer.PathRaft
 	for {
 		select {
 		case <-s.ctx.Done():
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -128,7 +128,7 @@
 	if err := n.mustLead(); err != nil {
 		return owner.Lease{}, err
 	}
-	l := n.planner.Renew(received, n.model.Load(), r)
+	l := n.planner.Renew(received, n.table(n.cfg.Clock()), r)
 	n.suspects.acknowledge(received, time.Duration(l.TTLMs)*time.Millisecond, r)
 	if r.Compact && (l.Table != nil || l.Delta != nil) {
 		if err := n.packs.fill(&l, r.TableVersion); err != nil {
@@ -163,21 +163,52 @@
 	}
 }
 
-// coalesce is how long the answer to a waiting host is kept back after a change, so that a burst of changes makes one
-// update.
-const coalesce = 80 * time.Millisecond
+// table returns the state that hosts get. It changes at most once per PublishInterval, so that a burst of changes makes
+// one update that is packed once for all hosts. The caller holds ownerMu.
+func (n *Node) table(now time.Duration) *model.State {
+	s := n.model.Load()
+	if n.published == nil || s.Version < n.published.Version || now-n.publishedAt >= n.cfg.PublishInterval {
+		n.published, n.publishedAt = s, now
+	}
+	return n.published
+}
+
+// untilPublished returns the time until a newer table than have may be given, or false if there is none.
+func (n *Node) untilPublished(have uint64) (time.Duration, bool) {
+	n.ownerMu.Lock()
+	defer n.ownerMu.Unlock()
+	now := n.cfg.Clock()
+	if n.table(now).Version != have {
+		return 0, true
+	}
+	if n.model.Load().Version == have {
+		return 0, false
+	}
+	return n.publishedAt + n.cfg.PublishInterval - now, true
+}
 
 // AwaitNewer returns once there is something that the host lacks, or ctx ends.
 func (n *Node) AwaitNewer(ctx context.Context, have owner.Versions) error {
-	now, err := n.Watch(ctx, have)
-	if err != nil || now == have || have.Table == 0 {
-		return err
-	}
-	t := time.NewTimer(coalesce)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
+	for ctx.Err() == nil {
+		if have.Suspects != n.suspectsVersion() {
+			return nil
+		}
+		wait, changed := n.untilPublished(have.Table)
+		if changed && wait <= 0 {
+			return nil
+		}
+		if changed {
+			t := time.NewTimer(wait)
+			select {
+			case <-ctx.Done():
+			case <-t.C:
+			}
+			t.Stop()
+			continue
+		}
+		if _, err := n.Watch(ctx, have); err != nil {
+			return err
+		}
 	}
 	return nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -56,6 +56,8 @@
 	InitialSet []model.Service
 	// InitialLimits are the limits of the settings; used, as InitialSet, only until the state holds settings.
 	InitialLimits []model.Limit
+	// PublishInterval is the least time between two tables for hosts; 0 publishes each change.
+	PublishInterval time.Duration
 	// Timing is DefaultTiming if zero.
 	Timing Timing
 	// Audit keeps the planner's decisions; nil keeps none.
@@ -120,6 +122,9 @@
 	// suspects is made anew with the planner.
 	suspects *suspects
 	packs    packs
+	// published is the state whose table hosts get, since publishedAt.
+	published   *model.State
+	publishedAt time.Duration
 }
 
 // New returns a node with what the store held.
@@ -358,6 +363,7 @@
 	if n.planner == nil || n.plannerTerm != n.raft.Term() {
 		n.planner, n.plannerTerm = owner.New(n.cfg.Planner, n.cfg.Clock()), n.raft.Term()
 		n.suspects = newSuspects(n.plannerTerm)
+		n.published = nil
 		n.cfg.Log.Info("became leader", "term", n.plannerTerm)
 	}
 }
--- a/internal/owner/history.go
+++ b/internal/owner/history.go
@@ -32,7 +32,7 @@
 // observe records the differences to the state seen before. It returns false if there is nothing new.
 func (h *history) observe(s *model.State) bool {
 	old := h.seen
-	if old != nil && s.Version == old.Version {
+	if old != nil && s.Version <= old.Version {
 		return false
 	}
 	h.seen = s
--- a/internal/route/pack.go
+++ b/internal/route/pack.go
@@ -21,7 +21,7 @@
 // an eighth.
 func Pack(t *Table, d *Delta) ([]byte, error) {
 	var b bytes.Buffer
-	w, err := flate.NewWriter(&b, flate.DefaultCompression)
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
 	if err != nil {
 		return nil, errors.Wrap(err, "make compressor")
 	}
