--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -30,6 +30,8 @@
 	Caller   string
 	Control  string
 	Operator string
+	// Advertise is the control address that other daemons use; Control unless the settings name another.
+	Advertise string
 	// Replicas is not empty; hosts and addresses are unique.
 	Replicas []Replica
 	// LogLevel is debug, info, warn or error. LogFormat is text or json.
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -25,7 +25,7 @@
 
 var knownKeys = map[string][]string{
 	"daemon":    {"host", "data_centre", "data_dir"},
-	"listen":    {"caller", "control", "operator"},
+	"listen":    {"caller", "control", "operator", "advertise"},
 	"cluster":   {"replicas", "max_moves"},
 	"log":       {"level", "format"},
 	"requests":  {"max_header_bytes", "max_body_bytes", "max_answer_bytes"},
@@ -89,6 +89,10 @@
 		Services:          r.services(),
 		Limits:            r.limits(),
 	}
+	c.Advertise = c.Control
+	if r.text("listen", "advertise", "") != "" {
+		c.Advertise = r.address("listen", "advertise")
+	}
 	if r.onPlatform() {
 		c.Gateway = r.gateway(c)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -316,7 +316,7 @@
 	raftAddress := func(control string) string { return control }
 	if g := cfg.Gateway; g != nil {
 		// Hosts on a platform come and go under any name; a disk is known by the address that it is reached at.
-		self.Host, voters, firstStart = cfg.Control, gatewayVoters, g.FirstStart
+		self.Host, self.Address, voters, firstStart = cfg.Advertise, cfg.Advertise, gatewayVoters, g.FirstStart
 		cfg.Replicas = seedReplicas(cfg)
 		raftAddress = nextPort
 		planner, timing, publish = gatewayPlanner(cfg), gatewayTiming, gatewayPublish
--- a/internal/daemon/directory.go
+++ b/internal/daemon/directory.go
@@ -120,9 +120,9 @@
 	if time.Since(d.silentSince) < rejoinAfter {
 		return
 	}
-	self := raft.Member{ID: id, Host: d.cfg.Control, Address: d.cfg.Control}
+	self := raft.Member{ID: id, Host: d.cfg.Advertise, Address: d.cfg.Advertise}
 	for _, a := range d.candidates() {
-		if a == d.cfg.Control {
+		if a == d.cfg.Advertise {
 			continue
 		}
 		ctx, cancel := context.WithTimeout(ctx, askReplicaTimeout)
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -119,7 +119,8 @@
 			newGatewayLogger, newClock, newTokens, newClients, newSeedClient, metric.New, route.NewView, newReplica, newRenewer,
 			limit.NewHost, newGuard, newAudit, newGate, newPipes, newDirectory, newRegistry,
 		),
-		fx.Invoke(startReloader, startReplica, startGatewayListeners, startDirectory, startGate),
+		// Stopped in the reverse order: callers are served to the end with a table that is kept fresh.
+		fx.Invoke(startReloader, startReplica, startDirectory, startGate, startGatewayListeners),
 	)
 }
 
--- a/internal/daemon/registry.go
+++ b/internal/daemon/registry.go
@@ -50,11 +50,11 @@
 	if err == nil || peer.AsError(err).Code != proto.CodeNotLeader {
 		return a, err
 	}
-	if to := peer.AsError(err).Leader; to != "" && to != r.cfg.Control {
+	if to := peer.AsError(err).Leader; to != "" && to != r.cfg.Advertise {
 		r.leader.Prefer(to)
 	}
-	if r.leader.Leader() == r.cfg.Control {
-		r.leader.Skip(r.cfg.Control)
+	if r.leader.Leader() == r.cfg.Advertise {
+		r.leader.Skip(r.cfg.Advertise)
 	}
 	return peer.ToLeader[Q, A](ctx, r.leader, path, timeout, q)
 }
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -157,9 +157,10 @@
 	position := model.OrderedPosition(uint16(key))
 	patience := c.started + time.Duration(ownerWaitShare*float64(c.route.ObjectiveMs))*time.Millisecond
 	for {
-		to, changed, code := c.takeOwner(ctx, position, patience)
-		if code != "" {
-			return c.giveUp(ctx, code, "the owner of the key can't take the request")
+		to, changed, room := c.takeOwner(ctx, position, patience)
+		if room != RoomFree {
+			code, reason := lackOfRoom(room)
+			return c.giveUp(ctx, code, reason)
 		}
 		a, f := c.sendKeyed(ctx, r, to, position)
 		if f == nil {
@@ -182,10 +183,24 @@
 	return f.Stage == pipe.StageRefused && f.Status == http.StatusMisdirectedRequest
 }
 
-// takeOwner finds the owner of the key and waits until it has room. The code is empty if the request may be sent.
+// lackOfRoom says why a request was not sent to the owner of its key.
+func lackOfRoom(room Room) (proto.Code, string) {
+	switch room {
+	case RoomEjected:
+		return proto.CodeNoUpstream, "the owner of the key fails and is left alone for a while"
+	case RoomNone:
+		return proto.CodeOverloaded, "enough requests wait for the owner of the key"
+	case RoomWait:
+		return proto.CodeOverloaded, "the owner of the key had no room in time"
+	}
+	return proto.CodeNoUpstream, "the key has no owner"
+}
+
+// takeOwner finds the owner of the key and waits until it has room. With RoomFree the request is to be sent; an empty
+// room means that there is no owner.
 func (c *call) takeOwner(
 	ctx context.Context, position uint64, patience time.Duration,
-) (route.Target, <-chan struct{}, proto.Code) {
+) (route.Target, <-chan struct{}, Room) {
 	// waiting is the owner that counts this request among those that wait for it.
 	var waiting model.Upstream
 	leave := func() {
@@ -198,25 +213,26 @@
 		t, changed := c.gate.cfg.View.Table()
 		c.version = t.Version
 		to := t.OwnerAt(c.part, position)
-		known := to.Upstream.Name != "" && c.gate.mayUse(c.now(), to.Upstream)
 		if to.Upstream != waiting {
 			leave()
 		}
-		pause, code := patience-c.now(), proto.CodeNoUpstream
-		if known {
-			switch c.gate.cfg.Picker.Take(c.now(), to.Upstream, waiting.Name != "") {
-			case RoomFree:
-				return to, changed, ""
-			case RoomNone:
-				leave()
-				return to, changed, proto.CodeOverloaded
-			case RoomWait:
-				waiting, pause, code = to.Upstream, min(pause, roomPause), proto.CodeOverloaded
-			}
+		pause, room := patience-c.now(), Room("")
+		if to.Upstream.Name != "" && c.gate.mayUse(c.now(), to.Upstream) {
+			c.upstream = to.Upstream.Name
+			room = c.gate.cfg.Picker.Take(c.now(), to.Upstream, waiting.Name != "")
+		}
+		switch room {
+		case RoomFree:
+			return to, changed, room
+		case RoomNone, RoomEjected:
+			leave()
+			return to, changed, room
+		case RoomWait:
+			waiting, pause = to.Upstream, min(pause, roomPause)
 		}
 		if c.now() >= patience || !c.await(ctx, changed, pause) {
 			leave()
-			return to, changed, code
+			return to, changed, room
 		}
 	}
 }
--- a/internal/gate/pick.go
+++ b/internal/gate/pick.go
@@ -164,8 +164,10 @@
 	RoomFree Room = "free"
 	// RoomWait means that other requests must end first.
 	RoomWait Room = "wait"
-	// RoomNone means that no request should be sent or wait.
+	// RoomNone means that enough requests wait.
 	RoomNone Room = "none"
+	// RoomEjected means that the owner has failed too often to be sent anything for a while.
+	RoomEjected Room = "ejected"
 )
 
 // Take counts a request in flight at an upstream that was not chosen by Pick, if there is room for it. waits is true
@@ -180,7 +182,7 @@
 	}
 	switch {
 	case now < h.ejectedUntil:
-		return RoomNone
+		return RoomEjected
 	case h.inFlight < limit:
 		if waits {
 			h.waiting--
