--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -38,6 +38,7 @@
 	Status  statusCmd  `cmd:"" help:"Show services, owners, moves, replicas and daemons."`
 	Explain explainCmd `cmd:"" help:"Show why a request, key or upstream was treated as it was."`
 	Check   checkCmd   `cmd:"" help:"Check a settings file without starting."`
+	Logs    logsCmd    `cmd:"" help:"Show the lines of a request, upstream, range or key in the logs of several daemons."`
 	Load    loadCmd    `cmd:"" help:"Generate load on loopback and report latencies and goodput."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -120,7 +120,7 @@
 			limit.NewHost, newGuard, newAudit, newGate, newPipes, newDirectory, newRegistry,
 		),
 		// Stopped in the reverse order: callers are served to the end with a table that is kept fresh.
-		fx.Invoke(startReloader, startReplica, startDirectory, startGate, startGatewayListeners),
+		fx.Invoke(startReloader, startReplica, startDirectory, startGauges, startGate, startGatewayListeners),
 	)
 }
 
--- /dev/null
+++ b/internal/daemon/gauges.go
@@ -0,0 +1,76 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"baobabreach/internal/config"
+	"baobabreach/internal/metric"
+	"baobabreach/internal/pipe"
+	"baobabreach/internal/raft"
+	"baobabreach/internal/route"
+
+	"go.uber.org/fx"
+)
+
+// gaugeInterval is the time between two looks at the values behind the gauges.
+const gaugeInterval = time.Second
+
+type gaugeParams struct {
+	fx.In
+
+	Config  config.Config
+	Metrics *metric.Registry
+	View    *route.View
+	Pool    *pipe.Pool
+	Replica *replica
+	Clock   Clock
+}
+
+// startGauges keeps the gauges of a daemon on a platform fresh.
+func startGauges(lc fx.Lifecycle, p gaugeParams) {
+	ctx, cancel := context.WithCancel(context.Background())
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go every(ctx, gaugeInterval, p.update)
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			cancel()
+			return nil
+		},
+	})
+}
+
+func (p gaugeParams) update() {
+	if p.Config.Caller != "" {
+		version, _ := p.View.Versions()
+		p.Metrics.Gauge("table.version", int64(version))
+		p.Metrics.Gauge("table.lease_left_ms", p.View.LeaseLeft(p.Clock()).Milliseconds())
+		p.Metrics.Gauge("hosts", int64(p.View.HostCount()))
+		s := p.Pool.Stats()
+		p.Metrics.Gauge("upstream.dials", s.Dials)
+		p.Metrics.Gauge("upstream.reuses", s.Reuses)
+		p.Metrics.Gauge("upstream.stale_connections", s.Stale)
+		p.Metrics.Gauge("upstream.crossed_answers", s.Crossed)
+	}
+	n := p.Replica.node.Load()
+	if n == nil {
+		return
+	}
+	s := n.Status()
+	leads := int64(0)
+	if s.Role == raft.RoleLeader {
+		leads = 1
+	}
+	p.Metrics.Gauge("raft.leader", leads)
+	p.Metrics.Gauge("raft.term", int64(s.Term))
+	p.Metrics.Gauge("raft.commit_index", int64(s.Commit))
+	p.Metrics.Gauge("raft.last_index", int64(s.Last))
+	p.Metrics.Gauge("raft.voters", int64(len(s.Members.Voters)))
+	p.Metrics.Gauge("raft.learners", int64(len(s.Members.Learners)))
+	m := n.Model()
+	p.Metrics.Gauge("state.version", int64(m.Version))
+	p.Metrics.Gauge("state.upstreams", int64(len(m.Upstreams)))
+	p.Metrics.Gauge("state.ranges", int64(len(m.Ranges)))
+}
