--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -38,7 +38,7 @@
 	gatewayRenewWait  = time.Second
 	gatewayRenewPause = 20 * time.Millisecond
 	// gatewayRenewRetry paces the search for a leader by a hundred hosts with links of 2 Mbit/s.
-	gatewayRenewRetry = 200 * time.Millisecond
+	gatewayRenewRetry = 300 * time.Millisecond
 	// gatewayPublish is the least time between two tables. Upstreams that leave serve for two seconds more.
 	gatewayPublish  = 100 * time.Millisecond
 	gatewayLeaseTTL = 3500 * time.Millisecond
--- a/internal/daemon/registry.go
+++ b/internal/daemon/registry.go
@@ -42,7 +42,8 @@
 	return Registry{cfg: cfg, node: r.node.Load, leader: l, clock: now, log: logs.Part(log, "registry")}
 }
 
-// onLeader runs here on the leader and passes q on everywhere else.
+// onLeader runs here on the leader and passes q on everywhere else. Without a known leader it fails at once: after a
+// loss of power hundreds of upstreams ask again and again, and each call that is passed on takes time from the election.
 func onLeader[Q, A any](
 	ctx context.Context, r Registry, path string, timeout time.Duration, here func(context.Context, Q) (A, error), q Q,
 ) (A, error) {
@@ -50,12 +51,11 @@
 	if err == nil || peer.AsError(err).Code != proto.CodeNotLeader {
 		return a, err
 	}
-	if to := peer.AsError(err).Leader; to != "" && to != r.cfg.Advertise {
-		r.leader.Prefer(to)
-	}
-	if r.leader.Leader() == r.cfg.Advertise {
-		r.leader.Skip(r.cfg.Advertise)
+	to := peer.AsError(err).Leader
+	if to == "" || to == r.cfg.Advertise {
+		return a, err
 	}
+	r.leader.Prefer(to)
 	return peer.ToLeader[Q, A](ctx, r.leader, path, timeout, q)
 }
 
--- a/internal/peer/leader.go
+++ b/internal/peer/leader.go
@@ -69,9 +69,6 @@
 // Prefer sends the next message to an address that is known to lead.
 func (l *LeaderClient) Prefer(address string) { l.report(l.Leader(), address) }
 
-// Skip moves on from an address that does not lead.
-func (l *LeaderClient) Skip(address string) { l.report(address, "") }
-
 // SetAddresses replaces the addresses of the replicas; as is not empty. The present leader stays in use.
 func (l *LeaderClient) SetAddresses(as []string) {
 	l.mu.Lock()
