--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -49,9 +49,20 @@
 	// maybeRan is true once a try may have run.
 	maybeRan bool
 	reason   string
-	buffered int64
+	// failed is the last answer of an upstream that was a failure.
+	failed *pipe.Answer
+	// trail says how the tries before the last one ended, at most maxTrail of them.
+	trail []string
+	// key, first, last and epoch describe the range that a keyed request was routed by.
+	key         int
+	first, last uint64
+	epoch       uint64
+	buffered    int64
 }
 
+// maxTrail bounds the tries that the line of a request tells of.
+const maxTrail = 6
+
 // reply is the final answer. Code is empty for an answer of an upstream.
 type reply struct {
 	pipe.Answer
@@ -154,6 +165,7 @@
 		c.reason = "key " + strconv.Quote(r.Header.Get(c.gate.cfg.Names.Key)) + " is no number from 0 to 65535"
 		return reply{Answer: pipe.Answer{Status: http.StatusBadRequest}, code: proto.CodeMissingKey}
 	}
+	c.key = int(key)
 	position := model.OrderedPosition(uint16(key))
 	patience := c.started + time.Duration(ownerWaitShare*float64(c.route.ObjectiveMs))*time.Millisecond
 	for {
@@ -219,6 +231,7 @@
 		pause, room := patience-c.now(), Room("")
 		if to.Upstream.Name != "" && c.gate.mayUse(c.now(), to.Upstream) {
 			c.upstream = to.Upstream.Name
+			c.first, c.last, c.epoch = to.Assignment.First/model.OrderedSpan, to.Assignment.Last/model.OrderedSpan, to.Assignment.Epoch
 			room = c.gate.cfg.Picker.Take(c.now(), to.Upstream, waiting.Name != "")
 		}
 		switch room {
@@ -323,7 +336,9 @@
 	case pipe.StageNotSent:
 		c.tried[u.Name] = true
 	}
-	c.gate.cfg.Log.Debug("try failed", "request", c.id, "upstream", u.Name, "stage", f.Stage, "error", f.Error())
+	if len(c.trail) < maxTrail {
+		c.trail = append(c.trail, u.Name+" "+string(f.Stage)+": "+f.Error())
+	}
 	return nil, f
 }
 
@@ -345,7 +360,14 @@
 
 // retriesAnswer tells whether an upstream's own failure is worth another try.
 func (c *call) retriesAnswer(a *pipe.Answer) bool {
-	return a.Status >= http.StatusInternalServerError && c.route.Idempotent && c.mayResend()
+	if a.Status < http.StatusInternalServerError || !c.route.Idempotent || !c.mayResend() {
+		return false
+	}
+	c.failed = a
+	if len(c.trail) < maxTrail {
+		c.trail = append(c.trail, c.upstream+" answered "+strconv.Itoa(a.Status))
+	}
+	return true
 }
 
 // again tells whether the request may be sent once more after the failure.
@@ -381,6 +403,9 @@
 func (c *call) giveUp(ctx context.Context, code proto.Code, reason string) reply {
 	c.reason = reason
 	switch {
+	case c.failed != nil:
+		// The upstream's own failure says more than one of ours.
+		return reply{Answer: *c.failed}
 	case !c.maybeRan:
 		return c.refuse(code, reason)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
@@ -450,10 +475,22 @@
 	if a.code != "" {
 		level = slog.LevelWarn
 	}
-	c.gate.cfg.Log.LogAttrs(ctx, level, "request",
+	attrs := []slog.Attr{
 		slog.String("request", c.id), slog.String("route", c.route.Name), slog.Uint64("route_version", c.route.Version),
 		slog.Uint64("table", c.version), slog.String("service", c.part), slog.String("upstream", c.upstream),
 		slog.Int("sends", c.sends), slog.Int("status", a.Status), slog.String("outcome", string(outcome)),
-		slog.String("code", string(a.code)), slog.String("reason", c.reason),
-		slog.Int64("ms", elapsed.Milliseconds()), slog.Bool("caller_left", ctx.Err() != nil))
+		slog.Int64("ms", elapsed.Milliseconds()),
+	}
+	if a.code != "" {
+		attrs = append(attrs, slog.String("code", string(a.code)), slog.String("reason", c.reason),
+			slog.Bool("caller_left", ctx.Err() != nil))
+	}
+	if c.epoch > 0 {
+		attrs = append(attrs, slog.Int("key", c.key), slog.Uint64("first", c.first), slog.Uint64("last", c.last),
+			slog.Uint64("epoch", c.epoch))
+	}
+	if len(c.trail) > 0 {
+		attrs = append(attrs, slog.Any("tries", c.trail))
+	}
+	c.gate.cfg.Log.LogAttrs(ctx, level, "request", attrs...)
 }
--- a/internal/node/audit.go
+++ b/internal/node/audit.go
@@ -90,5 +90,5 @@
 	case s.StoppedDCs[s.Upstreams[owner].DataCentre]:
 		return "an operator stopped the owner's data centre"
 	}
-	return "the owner is leaving, or another upstream owns at least two ranges fewer"
+	return "the owner is leaving, or has more load or ranges than another upstream"
 }
