--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -28,10 +28,6 @@
 // readHeaderTimeout ends connections that send their headers too slowly.
 const readHeaderTimeout = 5 * time.Second
 
-// headerSlack lets headers somewhat above the limit reach the entry server, which refuses them with a typed error;
-// net/http answers with a bare status.
-const headerSlack = 4
-
 // stopper turns readiness off ahead of a stop.
 type stopper struct {
 	stopping atomic.Bool
@@ -64,10 +60,12 @@
 }
 
 func newServers(p listenerParams) servers {
+	limit := p.Config.MaxHeaderBytes
 	return servers{
-		callers:  newServer(callerRouter(p), p.Config.MaxHeaderBytes*headerSlack),
-		control:  newServer(controlRouter(p), p.Config.MaxHeaderBytes),
-		operator: newServer(operatorRouter(p), p.Config.MaxHeaderBytes),
+		// The entry server checks the headers of callers itself.
+		callers:  newServer(callerRouter(p), limit),
+		control:  newServer(limitHeaders(controlRouter(p), limit), limit),
+		operator: newServer(limitHeaders(operatorRouter(p), limit), limit),
 	}
 }
 
@@ -131,13 +129,13 @@
 
 func newServer(h http.Handler, maxHeaderBytes int64) *http.Server {
 	return &http.Server{
-		Handler: limitHeaders(h, maxHeaderBytes), ReadHeaderTimeout: readHeaderTimeout,
+		Handler: h, ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes: int(hardHeaderFactor * maxHeaderBytes),
 	}
 }
 
 // hardHeaderFactor is how far net/http reads beyond the limit. It answers what exceeds its own limit with plain text,
-// so that up to there limitHeaders gives the typed error.
+// so that up to there callers of the daemon get a typed error.
 const hardHeaderFactor = 4
 
 // headerLineBytes is what a header line takes beyond its name and value.
