--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -312,6 +312,7 @@
 	log = logs.Part(log, "replica")
 	self := raft.Member{ID: loaded.Identity.ID, Host: cfg.Host, Address: cfg.Control}
 	planner, voters, timing, publish := owner.Config{MaxMoves: cfg.MaxMoves}, 0, node.DefaultTiming, time.Duration(0)
+	compact := uint64(0)
 	firstStart := true
 	raftAddress := func(control string) string { return control }
 	if g := cfg.Gateway; g != nil {
@@ -320,6 +321,7 @@
 		cfg.Replicas = seedReplicas(cfg)
 		raftAddress = nextPort
 		planner, timing, publish = gatewayPlanner(cfg), gatewayTiming, gatewayPublish
+		compact = gatewayCompact
 	}
 	r.info.Store(&replicaInfo{Member: self, Members: loaded.Identity.Members, FirstStart: firstStart})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -337,7 +339,7 @@
 			WallMs: func() int64 { return time.Now().UnixMilli() },
 			Send:   newSender(ctx, c.control, t.control, raftAddress).send, Log: log,
 			Planner: planner, Voters: voters, Timing: timing, PublishInterval: publish,
-			InitialSet: cfg.Services, InitialLimits: cfg.Limits,
+			CompactEntries: compact, InitialSet: cfg.Services, InitialLimits: cfg.Limits,
 			Audit: ring,
 		})
 		if err != nil {
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -41,7 +41,10 @@
 	// gatewayRenewRetry paces the search for a leader by a hundred hosts with links of 2 Mbit/s.
 	gatewayRenewRetry = 300 * time.Millisecond
 	// gatewayPublish is the least time between two tables. Upstreams that leave serve for two seconds more.
-	gatewayPublish  = 100 * time.Millisecond
+	gatewayPublish = 100 * time.Millisecond
+	// gatewayCompact bounds the entries that a replica applies again after a restart: each copies a list of up to a
+	// thousand ranges, which takes a small machine about a millisecond.
+	gatewayCompact  = 256
 	gatewayLeaseTTL = 3500 * time.Millisecond
 	// firstWaitBeats is the number of heartbeats after which every upstream of a new service should have been heard.
 	firstWaitBeats = 1.3
@@ -57,7 +60,7 @@
 // gatewayTiming halves the heartbeats of the default, since bytes between data centres are paid for. A replica with a
 // quarter of a core must not lose its lease while hundreds of hosts come back at once; grants outlive the longer elections.
 var gatewayTiming = node.Timing{
-	ElectionMin: 700 * time.Millisecond, ElectionMax: 1200 * time.Millisecond, Heartbeat: 100 * time.Millisecond,
+	ElectionMin: 500 * time.Millisecond, ElectionMax: 900 * time.Millisecond, Heartbeat: 100 * time.Millisecond,
 }
 
 // Adapter is what a platform needs to say about its calls and headers.
@@ -332,7 +335,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			go every(ctx, sweepInterval, pool.Sweep)
+			go every(ctx, sweepInterval, func() {
+				pool.SetMaxIdle(g.IdlePerUpstream(maxIdlePerUpstream))
+				pool.Sweep()
+			})
 			go g.Follow(ctx)
 			return nil
 		},
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -132,6 +132,22 @@
 // hosts returns the number of entry hosts that share the bounds.
 func (g *Gate) hosts() int { return max(1, g.cfg.View.HostCount()) }
 
+// idleShare is the part of an upstream's connections that may be idle ones of entry hosts.
+const idleShare = 0.5
+
+// IdlePerUpstream returns the idle connections that this host may keep to one upstream, from 1 to most. Upstreams reset
+// connections beyond a bound for all hosts together.
+func (g *Gate) IdlePerUpstream(most int) int {
+	t, _ := g.cfg.View.Table()
+	n := most
+	for _, s := range t.Services {
+		if s.MaxConnections > 0 {
+			n = min(n, int(idleShare*float64(s.MaxConnections)/float64(g.hosts())))
+		}
+	}
+	return max(1, n)
+}
+
 // ServeHTTP answers one request of a caller.
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{gate: g, started: g.cfg.Clock(), id: r.Header.Get(g.cfg.Names.RequestID), tried: map[string]bool{}}
--- a/internal/gate/pick_test.go
+++ b/internal/gate/pick_test.go
@@ -6,6 +6,7 @@
 
 	"baobabreach/internal/gate"
 	"baobabreach/internal/model"
+	"baobabreach/internal/route"
 
 	"github.com/matryer/is"
 )
@@ -103,3 +104,14 @@
 	is.True(float64(resends) <= cfg.Ratio*hosts*requests+cfg.Slack)
 	is.True(resends > hosts)
 }
+
+// Guards against idle connections of many hosts that together exceed what an upstream accepts.
+func TestIdleConnectionsFollowTheBoundOfTheService(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	is.Equal(f.gate.IdlePerUpstream(6), 6)
+	f.view.Update(0, route.Update{Version: 1, HostCount: 87, Table: &route.Table{
+		Version: 1, Services: map[string]model.Service{"orders": {Name: "orders", MaxConnections: 500}},
+	}})
+	is.Equal(f.gate.IdlePerUpstream(6), 2)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,7 +30,7 @@
 const (
 	tickInterval = 10 * time.Millisecond
 	planInterval = 20 * time.Millisecond
-	// compactEntries is the length of the log after which a snapshot is taken.
+	// compactEntries is the default of Config.CompactEntries.
 	compactEntries = 20_000
 	inboxLength    = 1024
 )
@@ -56,6 +56,9 @@
 	InitialSet []model.Service
 	// InitialLimits are the limits of the settings; used, as InitialSet, only until the state holds settings.
 	InitialLimits []model.Limit
+	// CompactEntries is the number of entries after which a snapshot is taken. A replica that restarts applies that many
+	// again before it can lead; 0 stands for a default that keeps snapshots rare.
+	CompactEntries uint64
 	// PublishInterval is the least time between two tables for hosts; 0 publishes each change.
 	PublishInterval time.Duration
 	// Timing is DefaultTiming if zero.
@@ -130,6 +133,7 @@
 // New returns a node with what the store held.
 func New(cfg Config) (*Node, error) {
 	cfg.Timing = cmp.Or(cfg.Timing, DefaultTiming)
+	cfg.CompactEntries = cmp.Or(cfg.CompactEntries, compactEntries)
 	n := &Node{
 		cfg: cfg, inbox: make(chan []raft.Message, inboxLength), proposed: make(chan proposal, inboxLength),
 		joining: make(chan joinRequest), stopped: make(chan struct{}), state: state.New(),
@@ -306,7 +310,7 @@
 }
 
 func (n *Node) compact() error {
-	if n.raft.Commit()-n.raft.BaseIndex() < compactEntries {
+	if n.raft.Commit()-n.raft.BaseIndex() < n.cfg.CompactEntries {
 		return nil
 	}
 	b, err := n.state.Snapshot()
--- a/internal/pipe/pipe.go
+++ b/internal/pipe/pipe.go
@@ -33,7 +33,7 @@
 	Now   func() time.Duration
 	// MaxAnswerBytes bounds the body of an answer; positive.
 	MaxAnswerBytes int64
-	// MaxIdle bounds the idle connections to one upstream.
+	// MaxIdle bounds the idle connections to one upstream until SetMaxIdle.
 	MaxIdle int
 }
 
@@ -105,12 +105,13 @@
 
 	mu sync.Mutex
 	// idle holds connections by address, the most recently used last.
-	idle  map[string][]*conn
-	stats Stats
+	idle    map[string][]*conn
+	maxIdle int
+	stats   Stats
 }
 
 // New returns an empty pool.
-func New(cfg Config) *Pool { return &Pool{cfg: cfg, idle: map[string][]*conn{}} }
+func New(cfg Config) *Pool { return &Pool{cfg: cfg, idle: map[string][]*conn{}, maxIdle: cfg.MaxIdle} }
 
 // Stats returns the counts so far.
 func (p *Pool) Stats() Stats {
@@ -119,6 +120,13 @@
 	return p.stats
 }
 
+// SetMaxIdle changes the bound on the idle connections to one upstream.
+func (p *Pool) SetMaxIdle(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.maxIdle = n
+}
+
 // Sweep closes the idle connections that are about to be closed by their upstreams.
 func (p *Pool) Sweep() {
 	now := p.cfg.Now()
@@ -166,7 +174,7 @@
 func (p *Pool) put(address string, c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[address]) >= p.cfg.MaxIdle {
+	if len(p.idle[address]) >= p.maxIdle {
 		c.close()
 		return
 	}
