--- a/internal/gate/pick.go
+++ b/internal/gate/pick.go
@@ -144,16 +144,15 @@
 }
 
 const (
-	// calmLimit and hotLimit bound the requests in flight from this host to the owner of a key. Twelve hosts with one
-	// each fill the slots of an owner and keep its queue short enough for the latency objective.
-	calmLimit = 3
-	hotLimit  = 1
+	// calmLimit and hotLimit bound the requests in flight from this host to the owner of a key.
+	calmLimit = 8
+	hotLimit  = 4
 	// hotFor is how long an owner counts as hot after it refused a request or was slow.
 	hotFor = time.Second
 	// hotSlowdown is the latency, in multiples of the service's time without waiting, that shows a queue at the owner.
 	hotSlowdown = 2.5
 	// maxWaiting bounds the requests that wait at this host for one owner.
-	maxWaiting = 2
+	maxWaiting = 4
 )
 
 // Room tells what the owner of a key can take.
