--- a/internal/daemon/directory.go
+++ b/internal/daemon/directory.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"baobabreach/internal/clock"
 	"baobabreach/internal/config"
 	"baobabreach/internal/logs"
 	"baobabreach/internal/peer"
@@ -141,7 +142,7 @@
 		OnStart: func(context.Context) error {
 			go func() {
 				d.refresh(ctx)
-				every(ctx, directoryPause, func() { d.refresh(ctx) })
+				clock.Every(ctx, directoryPause, d.refresh)
 			}()
 			return nil
 		},
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -11,6 +11,7 @@
 	"runtime/debug"
 	"time"
 
+	"baobabreach/internal/clock"
 	"baobabreach/internal/config"
 	"baobabreach/internal/errs"
 	"baobabreach/internal/gate"
@@ -335,7 +336,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			go every(ctx, sweepInterval, func() {
+			go clock.Every(ctx, sweepInterval, func(context.Context) {
 				pool.SetMaxIdle(g.IdlePerUpstream(maxIdlePerUpstream))
 				pool.Sweep()
 			})
@@ -348,17 +349,3 @@
 		},
 	})
 }
-
-// every calls fn in intervals until ctx ends.
-func every(ctx context.Context, d time.Duration, fn func()) {
-	t := time.NewTicker(d)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			fn()
-		}
-	}
-}
--- a/internal/daemon/gauges.go
+++ b/internal/daemon/gauges.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"baobabreach/internal/clock"
 	"baobabreach/internal/config"
 	"baobabreach/internal/metric"
 	"baobabreach/internal/pipe"
@@ -32,7 +33,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			go every(ctx, gaugeInterval, p.update)
+			go clock.Every(ctx, gaugeInterval, p.update)
 			return nil
 		},
 		OnStop: func(context.Context) error {
@@ -42,7 +43,7 @@
 	})
 }
 
-func (p gaugeParams) update() {
+func (p gaugeParams) update(context.Context) {
 	if p.Config.Caller != "" {
 		version, _ := p.View.Versions()
 		p.Metrics.Gauge("table.version", int64(version))
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"baobabreach/internal/admit"
+	"baobabreach/internal/clock"
 	"baobabreach/internal/config"
 	"baobabreach/internal/entry"
 	"baobabreach/internal/model"
@@ -187,27 +188,14 @@
 // Run keeps the credits of this host, and exchanges counts under the policy shared, until ctx ends.
 func (s *Slots) Run(ctx context.Context) {
 	if s.policy == policyShared {
-		go every(ctx, sharedInterval, s.exchange)
+		go clock.Every(ctx, sharedInterval, s.exchange)
 	}
-	every(ctx, keepInterval, s.maintain)
+	clock.Every(ctx, keepInterval, s.maintain)
 }
 
 // Relays tells whether the policy hands whole requests to the dispatchers.
 func (s *Slots) Relays() bool { return s.policy == policyRelay }
 
-func every(ctx context.Context, d time.Duration, f func(context.Context)) {
-	t := time.NewTicker(d)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			f(ctx)
-		}
-	}
-}
-
 // Acquire implements entry.Slots.
 func (s *Slots) Acquire(ctx context.Context, t entry.Ticket) (model.Upstream, func(admit.Result), *proto.Error) {
 	var u model.Upstream
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -15,15 +15,15 @@
 	"time"
 
 	"baobabreach/internal/model"
+	"baobabreach/internal/pipe"
 	"baobabreach/pkg/proto"
 
 	"github.com/go-faster/errors"
 )
 
-// hopHeaders are not passed on in either direction.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Content-Length", "Authorization",
+// ownHeaders are not passed on in either direction, beside those that concern one connection.
+var ownHeaders = []string{
+	"Authorization",
 	// net/http resends a request with one of these headers by itself after a connection error.
 	"Idempotency-Key", "X-Idempotency-Key",
 }
@@ -151,8 +151,8 @@
 }
 
 func passedOn(h http.Header) http.Header {
-	c := h.Clone()
-	for _, k := range hopHeaders {
+	c := pipe.PassedOn(h)
+	for _, k := range ownHeaders {
 		c.Del(k)
 	}
 	return c
