--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -1,4 +1,4 @@
-// Package clock reads the time that leases are counted by.
+// Package clock reads the time that leases are counted by, and calls functions in intervals.
 package clock
 
 import (
