--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -281,8 +281,8 @@
 	is.Equal(r.Header.Get("X-Signed"), "s")
 }
 
-// Guards against a request that waits beyond the time limit of its route.
-func TestTheTimeLimitOfTheRouteHolds(t *testing.T) {
+// Guards against a request that waits beyond the timeout of its route.
+func TestTheTimeoutOfTheRouteHolds(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t)
 	f.table(1, true, up("u1", newBackend(t, hangs)), up("u2", newBackend(t, hangs)))
