Mount the routes of all daemons once and drop code that nothing calls

Found by reading the whole change: the control routes of both wirings were listed twice, two places appended to the trail of a request with the same bound, and Picker.Forget and pipe.MinLeft had no caller.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -37,16 +37,21 @@
 func (c control) router() http.Handler {
 	m := mux.NewRouter()
 	m.Handle(peer.PathRaft, peer.Handle(peer.MaxRaftBytes, c.raft)).Methods(http.MethodPost)
-	m.Handle(peer.PathReplica, peer.Handle(peer.MaxBodyBytes, c.replica)).Methods(http.MethodPost)
-	m.Handle(peer.PathJoin, peer.Handle(peer.MaxBodyBytes, c.join)).Methods(http.MethodPost)
 	m.Handle(peer.PathAnnounce, peer.Handle(peer.MaxBodyBytes, c.announce)).Methods(http.MethodPost)
-	m.Handle(peer.PathRenew, peer.Handle(peer.MaxBodyBytes, c.renew)).Methods(http.MethodPost)
 	m.Handle(peer.PathWatch, peer.Handle(peer.MaxBodyBytes, c.watch)).Methods(http.MethodPost)
 	m.Handle(peer.PathPropose, peer.Handle(peer.MaxBodyBytes, c.propose)).Methods(http.MethodPost)
+	c.slots.Mount(m)
+	return c.mountCommon(m)
+}
+
+// mountCommon adds what every daemon serves to other daemons, and the answers to anything else.
+func (c control) mountCommon(m *mux.Router) http.Handler {
+	m.Handle(peer.PathReplica, peer.Handle(peer.MaxBodyBytes, c.replica)).Methods(http.MethodPost)
+	m.Handle(peer.PathJoin, peer.Handle(peer.MaxBodyBytes, c.join)).Methods(http.MethodPost)
+	m.Handle(peer.PathRenew, peer.Handle(peer.MaxBodyBytes, c.renew)).Methods(http.MethodPost)
 	m.Handle(peer.PathCrash, peer.Handle(peer.MaxBodyBytes, c.crash)).Methods(http.MethodPost)
 	m.Handle(peer.PathPermit, peer.Handle(peer.MaxBodyBytes, c.permit)).Methods(http.MethodPost)
 	c.operate.mountControl(m)
-	c.slots.Mount(m)
 	m.NotFoundHandler = notFound()
 	m.MethodNotAllowedHandler = notFound()
 	return requireToken(c.token, m)
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -186,21 +186,13 @@
 }
 
 // gatewayRouter serves the other daemons of a platform.
-func gatewayRouter(c control, r Registry, o operate) http.Handler {
+func gatewayRouter(c control, r Registry) http.Handler {
 	m := mux.NewRouter()
-	m.Handle(peer.PathReplica, peer.Handle(peer.MaxBodyBytes, c.replica)).Methods(http.MethodPost)
-	m.Handle(peer.PathJoin, peer.Handle(peer.MaxBodyBytes, c.join)).Methods(http.MethodPost)
-	m.Handle(peer.PathRenew, peer.Handle(peer.MaxBodyBytes, c.renew)).Methods(http.MethodPost)
-	m.Handle(peer.PathCrash, peer.Handle(peer.MaxBodyBytes, c.crash)).Methods(http.MethodPost)
-	m.Handle(peer.PathPermit, peer.Handle(peer.MaxBodyBytes, c.permit)).Methods(http.MethodPost)
 	m.Handle(peer.PathAnnounce, peer.Handle(peer.MaxBodyBytes, r.announceHere)).Methods(http.MethodPost)
 	m.Handle(peer.PathDepart, peer.Handle(peer.MaxBodyBytes, r.departHere)).Methods(http.MethodPost)
 	m.Handle(peer.PathChange, peer.Handle(peer.MaxRaftBytes, r.changeHere)).Methods(http.MethodPost)
 	m.Handle(peer.PathItems, peer.Handle(peer.MaxBodyBytes, r.itemsHere)).Methods(http.MethodPost)
-	o.mountControl(m)
-	m.NotFoundHandler = notFound()
-	m.MethodNotAllowedHandler = notFound()
-	return requireToken(c.token, m)
+	return c.mountCommon(m)
 }
 
 // raftRouter serves the other replicas.
@@ -231,6 +223,10 @@
 	return control{
 		node: p.Replica.node.Load, leader: p.Leader, clock: p.Clock, token: p.Tokens.control,
 		info: p.Replica.present,
+		operate: operate{
+			cfg: p.Config, node: p.Replica.node.Load, leader: p.Leader, client: p.Clients.control, token: p.Tokens.control,
+			view: p.View,
+		},
 	}
 }
 
@@ -257,10 +253,7 @@
 // startGatewayListeners opens the addresses of the daemon's roles, and ends callers last at a stop.
 func startGatewayListeners(lc fx.Lifecycle, p gatewayParams) {
 	log := logs.Part(p.Log, "listen")
-	o := operate{
-		cfg: p.Config, node: p.Replica.node.Load, leader: p.Leader, client: p.Clients.control, token: p.Tokens.control,
-		view: p.View,
-	}
+	c := p.control()
 	var ls []listener
 	add := func(name, address string, h http.Handler) *http.Server {
 		s := &http.Server{
@@ -274,10 +267,10 @@
 	}
 	operator := mux.NewRouter()
 	operator.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { p.Metrics.WriteText(w) })
-	o.server().Mount(operator)
-	add("control", p.Config.Control, gatewayRouter(p.control(), p.Registry, o))
+	c.operate.server().Mount(operator)
+	add("control", p.Config.Control, gatewayRouter(c, p.Registry))
 	if p.Config.IsReplica() {
-		add("raft", nextPort(p.Config.Control), raftRouter(p.control()))
+		add("raft", nextPort(p.Config.Control), raftRouter(c))
 	}
 	add("operator", p.Config.Operator, requireToken(p.Tokens.operator, operator))
 	add("registry", p.Config.Gateway.Registry, p.Adapter.Registry(p.Registry))
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -63,6 +63,13 @@
 // maxTrail bounds the tries that the line of a request tells of.
 const maxTrail = 6
 
+// tell notes how a try ended, for the line of the request.
+func (c *call) tell(ending string) {
+	if len(c.trail) < maxTrail {
+		c.trail = append(c.trail, ending)
+	}
+}
+
 // reply is the final answer. Code is empty for an answer of an upstream.
 type reply struct {
 	pipe.Answer
@@ -217,7 +224,7 @@
 	var waiting model.Upstream
 	leave := func() {
 		if waiting.Name != "" {
-			c.gate.cfg.Picker.Leave(c.now(), waiting)
+			c.gate.cfg.Picker.Leave(waiting)
 			waiting = model.Upstream{}
 		}
 	}
@@ -337,9 +344,7 @@
 	case pipe.StageNotSent:
 		c.tried[u.Name] = true
 	}
-	if len(c.trail) < maxTrail {
-		c.trail = append(c.trail, u.Name+" "+string(f.Stage)+": "+f.Error())
-	}
+	c.tell(u.Name + " " + string(f.Stage) + ": " + f.Error())
 	return nil, f
 }
 
@@ -365,9 +370,7 @@
 		return false
 	}
 	c.failed = a
-	if len(c.trail) < maxTrail {
-		c.trail = append(c.trail, c.upstream+" answered "+strconv.Itoa(a.Status))
-	}
+	c.tell(c.upstream + " answered " + strconv.Itoa(a.Status))
 	return true
 }
 
--- a/internal/gate/pick.go
+++ b/internal/gate/pick.go
@@ -52,7 +52,6 @@
 	ejections    int
 	ejectedUntil time.Duration
 	pausedUntil  time.Duration
-	seen         time.Duration
 	// hotUntil, waiting and queueing concern owners of keys.
 	hotUntil time.Duration
 	waiting  int
@@ -95,14 +94,14 @@
 		}
 	}
 	if found {
-		p.of(now, best).inFlight++
+		p.of(best).inFlight++
 	}
 	return best, found
 }
 
 // score rates an upstream; lower is better.
 func (p *Picker) score(now time.Duration, u model.Upstream, mean float64, mayEject bool) float64 {
-	h := p.of(now, u)
+	h := p.of(u)
 	s := float64(h.inFlight+1) / float64(max(1, u.Slots))
 	if u.DataCentre != p.dataCentre {
 		s += remotePenalty / float64(max(1, u.Slots))
@@ -123,7 +122,7 @@
 func (p *Picker) mayEject(now time.Duration, us []model.Upstream) bool {
 	n := 0
 	for _, u := range us {
-		if now < p.of(now, u).ejectedUntil {
+		if now < p.of(u).ejectedUntil {
 			n++
 		}
 	}
@@ -174,7 +173,7 @@
 func (p *Picker) Take(now time.Duration, u model.Upstream, waits bool) Room {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	h := p.of(now, u)
+	h := p.of(u)
 	limit := calmLimit
 	if now < h.hotUntil {
 		limit = hotLimit
@@ -198,17 +197,17 @@
 }
 
 // Leave ends the wait of a request.
-func (p *Picker) Leave(now time.Duration, u model.Upstream) {
+func (p *Picker) Leave(u model.Upstream) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.of(now, u).waiting--
+	p.of(u).waiting--
 }
 
 // Slow notes that the owner of a key took elapsed for a request that takes usual without waiting.
 func (p *Picker) Slow(now time.Duration, u model.Upstream, elapsed, usual time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	h := p.of(now, u)
+	h := p.of(u)
 	h.queueing += (min(2*hotSlowdown, float64(elapsed)/float64(max(1, usual))) - h.queueing) * queueingWeight
 	if h.queueing > hotSlowdown {
 		h.hotUntil = now + hotFor
@@ -249,23 +248,11 @@
 	}
 }
 
-// Forget drops what was seen of upstreams that are not in keep any more.
-func (p *Picker) Forget(now, age time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for name, h := range p.health {
-		if h.inFlight == 0 && now-h.seen > age {
-			delete(p.health, name)
-		}
-	}
-}
-
-func (p *Picker) of(now time.Duration, u model.Upstream) *health {
+func (p *Picker) of(u model.Upstream) *health {
 	h := p.health[u.Name]
 	if h == nil || h.incarnation != u.Incarnation {
 		h = &health{incarnation: u.Incarnation}
 		p.health[u.Name] = h
 	}
-	h.seen = now
 	return h
 }
--- a/internal/pipe/send.go
+++ b/internal/pipe/send.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/go-faster/errors"
 )
@@ -166,6 +165,3 @@
 	}
 	return nil, errors.New("too many interim answers")
 }
-
-// MinLeft is the least time that a send is worth: upstreams stop work at once with less.
-const MinLeft = time.Millisecond
