--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -107,6 +107,10 @@
 	if wait := min(maxRenewWait, time.Duration(r.WaitMs)*time.Millisecond); wait > 0 {
 		ctx, cancel := context.WithTimeout(ctx, wait)
 		defer cancel()
+		if n.Leads() != nil {
+			// Hosts that asked all replicas again and again would take the time that the election needs.
+			n.AwaitLeader(ctx)
+		}
 		have := owner.Versions{Table: r.TableVersion, Suspects: r.SuspectsVersion}
 		if err := n.AwaitNewer(ctx, have); err != nil {
 			return owner.Lease{}, err
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -44,8 +44,8 @@
 	// gatewayPublish is the least time between two tables. Upstreams that leave serve for two seconds more.
 	gatewayPublish = 100 * time.Millisecond
 	// gatewayCompact bounds the entries that a replica applies again after a restart: each copies a list of up to a
-	// thousand ranges, which takes a small machine about a millisecond.
-	gatewayCompact  = 256
+	// thousand ranges, which takes a small machine about a millisecond, and the loop that sends heartbeats waits for all.
+	gatewayCompact  = 64
 	gatewayLeaseTTL = 3500 * time.Millisecond
 	// firstWaitBeats is the number of heartbeats after which every upstream of a new service should have been heard.
 	firstWaitBeats = 1.3
--- a/internal/daemon/registry.go
+++ b/internal/daemon/registry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -22,6 +23,8 @@
 const (
 	// forwardTimeout bounds a call that is passed on to the leader: callers wait a second for the answer.
 	forwardTimeout = 850 * time.Millisecond
+	// heldSpread is the time over which calls that waited for a leader are passed on to it.
+	heldSpread = 300 * time.Millisecond
 	// leaveWait bounds the wait until the state says that an upstream leaves.
 	leaveWait = 700 * time.Millisecond
 	// changeTimeout bounds a change of the configuration; operators wait a second, longer for large ones.
@@ -42,8 +45,8 @@
 	return Registry{cfg: cfg, node: r.node.Load, leader: l, clock: now, log: logs.Part(log, "registry")}
 }
 
-// onLeader runs here on the leader and passes q on everywhere else. Without a known leader it fails at once: after a
-// loss of power hundreds of upstreams ask again and again, and each call that is passed on takes time from the election.
+// onLeader runs here on the leader and passes q on everywhere else. Without a known leader it waits for one: after a loss of
+// power hundreds of upstreams ask, and each call that fails is made again and takes time from the election.
 func onLeader[Q, A any](
 	ctx context.Context, r Registry, path string, timeout time.Duration, here func(context.Context, Q) (A, error), q Q,
 ) (A, error) {
@@ -51,6 +54,20 @@
 	if err == nil || peer.AsError(err).Code != proto.CodeNotLeader {
 		return a, err
 	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if n := r.node(); n != nil && peer.AsError(err).Leader == "" {
+		n.AwaitLeader(ctx)
+		// Spread, so that the new leader is not taken up by all calls that have waited.
+		select {
+		case <-time.After(rand.N(heldSpread)):
+		case <-ctx.Done():
+		}
+		a, err = here(ctx, q)
+		if err == nil || peer.AsError(err).Code != proto.CodeNotLeader {
+			return a, err
+		}
+	}
 	to := peer.AsError(err).Leader
 	if to == "" || to == r.cfg.Advertise {
 		return a, err
--- a/internal/daemon/renew.go
+++ b/internal/daemon/renew.go
@@ -11,6 +11,7 @@
 	"baobabreach/internal/owner"
 	"baobabreach/internal/peer"
 	"baobabreach/internal/route"
+	"baobabreach/pkg/proto"
 )
 
 const (
@@ -45,11 +46,18 @@
 
 // run renews the lease until ctx ends.
 func (r *renewer) run(ctx context.Context) {
+	told := false
 	for ctx.Err() == nil {
 		wait := r.interval
 		err := r.renew(ctx)
 		r.note(err)
-		if err != nil {
+		switch {
+		case err == nil:
+			told = false
+		case !told && namesLeader(err):
+			told = true
+		default:
+			told = false
 			// Spread, so that a hundred hosts that lost the leader at once do not come back at once.
 			wait = r.retry/2 + rand.N(r.retry)
 		}
@@ -61,6 +69,12 @@
 	}
 }
 
+// namesLeader tells whether the renewal was refused by a replica that knows the leader.
+func namesLeader(err error) bool {
+	e := peer.AsError(err)
+	return e.Code == proto.CodeNotLeader && e.Leader != ""
+}
+
 // firstTableTimeout covers a whole table over a slow link, while other hosts start too.
 const firstTableTimeout = 2 * time.Second
 
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -178,6 +178,7 @@
 	for {
 		to, changed, room := c.takeOwner(ctx, position, patience)
 		if room != RoomFree {
+			c.recordDemand(to, position)
 			code, reason := lackOfRoom(room)
 			return c.giveUp(ctx, code, reason)
 		}
@@ -261,21 +262,36 @@
 // roomPause paces the checks for room at the owner of a key.
 const roomPause = 15 * time.Millisecond
 
+// recordDemand notes a request for a key at once, whether its owner gets it or not: an owner that is left alone because it
+// fails must not look idle.
+func (c *call) recordDemand(to route.Target, position uint64) time.Duration {
+	usual := c.gate.work.usual(c.part)
+	if to.Upstream.Name != "" {
+		c.gate.cfg.View.RecordPosition(c.now(), to.Assignment, position, usual)
+	}
+	return usual
+}
+
 // sendKeyed makes one try at the owner of a key and takes note of its load.
 func (c *call) sendKeyed(
 	ctx context.Context, r *http.Request, to route.Target, position uint64,
 ) (*pipe.Answer, *pipe.Failure) {
 	sent := c.now()
+	recorded := c.recordDemand(to, position)
 	a, f := c.send(ctx, r, to.Upstream)
-	if f != nil && misdirected(f) {
+	if f != nil && f.Stage != pipe.StageUnknown {
 		return a, f
 	}
 	elapsed := c.now() - sent
+	if f != nil && elapsed < recorded {
+		// A connection that broke soon says nothing of the work.
+		return a, f
+	}
 	load, usual := c.gate.work.observe(c.part, elapsed)
-	c.gate.cfg.View.RecordPosition(c.now(), to.Assignment, position, load)
-	if f == nil || f.Stage != pipe.StageRefused {
-		c.gate.cfg.Picker.Slow(c.now(), to.Upstream, elapsed, usual)
+	if load > recorded {
+		c.gate.cfg.View.RecordWait(c.now(), to.Assignment, position, load-recorded)
 	}
+	c.gate.cfg.Picker.Slow(c.now(), to.Upstream, elapsed, usual)
 	return a, f
 }
 
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -386,3 +386,29 @@
 type errReader struct{}
 
 func (errReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+// Guards against an owner that fails and therefore looks idle: it was given more and more ranges, 61 in the end, while most
+// of its requests were refused (clc-gateway-grown, trouble-1).
+func TestAFailingOwnerDoesNotLookIdle(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	const work = 20 * time.Millisecond
+	b := newBackend(t, func(c net.Conn, n int, r *http.Request) {
+		if n > 3 {
+			breaks(c, n, r)
+			return
+		}
+		time.Sleep(work)
+		serves(c, n, r)
+	})
+	f.table(1, true, up("u1", b))
+	for range 3 {
+		is.Equal(f.do("GET", "/s/1", "").StatusCode, http.StatusOK)
+	}
+	for range 20 {
+		is.True(f.do("GET", "/s/1", "").StatusCode != http.StatusOK)
+	}
+	l := f.view.Report(f.clock())
+	is.Equal(len(l.Ranges), 1)
+	is.True(l.Ranges[0].Busy*2 > 20*work.Seconds()) // counts stand for up to two seconds
+}
--- a/internal/gate/work.go
+++ b/internal/gate/work.go
@@ -23,6 +23,13 @@
 
 func newWork() *work { return &work{services: map[string]float64{}} }
 
+// usual returns the time that a request takes without waiting, or 0 if none was observed.
+func (w *work) usual(service string) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Duration(w.services[service] * float64(time.Second))
+}
+
 // observe takes note of one request and returns the load that it stands for, and the time without waiting.
 func (w *work) observe(service string, elapsed time.Duration) (load, usual time.Duration) {
 	w.mu.Lock()
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -121,6 +121,18 @@
 	return nil
 }
 
+// AwaitLeader returns once this replica leads or knows another one that does, or ctx ends.
+func (n *Node) AwaitLeader(ctx context.Context) {
+	n.watchMu.Lock()
+	led := n.led
+	n.watchMu.Unlock()
+	select {
+	case <-led:
+	case <-ctx.Done():
+	case <-n.stopped:
+	}
+}
+
 // Renew answers an entry host's renewal on the leader. received is the time at which it arrived.
 func (n *Node) Renew(received time.Duration, r owner.Renewal) (owner.Lease, error) {
 	n.ownerMu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -124,6 +124,9 @@
 	watchMu sync.Mutex
 	// changed is closed and replaced whenever the model's version grows.
 	changed chan struct{}
+	// led is closed while a leader is known that can act.
+	led         chan struct{}
+	leaderKnown bool
 
 	ownerMu sync.Mutex
 	// planner is nil unless this replica leads term plannerTerm.
@@ -145,7 +148,7 @@
 		cfg: cfg, inbox: make(chan []raft.Message, inboxLength), proposed: make(chan proposal, inboxLength),
 		joining: make(chan joinRequest), stopped: make(chan struct{}), state: state.New(),
 		waiting: map[uint64]proposal{}, changed: make(chan struct{}),
-		hard: cfg.Loaded.Hard,
+		led: make(chan struct{}), hard: cfg.Loaded.Hard,
 	}
 	if s := cfg.Loaded.Snapshot; s != nil {
 		if err := n.state.Restore(s.Data); err != nil {
@@ -359,11 +362,25 @@
 		Commit: n.raft.Commit(), Last: n.raft.LastIndex(), Members: n.raft.Members(),
 		Group: n.group(n.cfg.Clock()),
 	})
+	n.noteLeader(leader.ID != "" && (leader.ID != n.cfg.Self.ID || until > n.cfg.Clock()))
 	if old == nil || old.Version != n.state.Model().Version {
 		n.wakeWatchers()
 	}
 }
 
+// noteLeader wakes those who wait for a leader.
+func (n *Node) noteLeader(known bool) {
+	n.watchMu.Lock()
+	defer n.watchMu.Unlock()
+	switch {
+	case known && !n.leaderKnown:
+		close(n.led)
+	case !known && n.leaderKnown:
+		n.led = make(chan struct{})
+	}
+	n.leaderKnown = known
+}
+
 // failWaiting tells proposers on a deposed leader that the result of their entry is unknown.
 func (n *Node) failWaiting() {
 	if n.raft.Role() == raft.RoleLeader {
--- a/internal/owner/moves.go
+++ b/internal/owner/moves.go
@@ -30,6 +30,9 @@
 	s      *model.State
 	now    time.Duration
 	ranges []model.Assignment
+	// loadOf holds the measured loads of ranges in slots, weights their weights in the balance; both in the order of ranges.
+	loadOf  []float64
+	weights []int64
 	// busy is the measured load of all ranges of the service together, 0 if none was measured.
 	busy float64
 	// loads sums the weights per upstream that may own ranges, with ranges on their way to it.
@@ -121,8 +124,10 @@
 		p: p, s: s, now: now, ranges: s.Ranges[first:last], slots: math.MaxInt,
 		loads: map[string]int64{}, merged: map[uint64]bool{},
 	}
+	m.loadOf = make([]float64, len(m.ranges))
 	for i := range m.ranges {
-		m.busy += p.load.of(now, &m.ranges[i])
+		m.loadOf[i] = p.load.of(now, &m.ranges[i])
+		m.busy += m.loadOf[i]
 	}
 	var stale []string
 	for _, name := range sortedKeys(s.Upstreams) {
@@ -144,6 +149,7 @@
 	if !s.Services[service].Ordered {
 		m.hot = p.load.hotKeys(service, m.slots)
 	}
+	m.weigh()
 	return m
 }
 
@@ -184,8 +190,7 @@
 	for i := range m.ranges {
 		a := &m.ranges[i]
 		parts := m.p.load.parts[a.ID]
-		busy := m.p.load.of(m.now, a)
-		if a.Phase != model.PhaseHeld || busy <= limit || len(parts) == 0 || !overloaded[a.Owner] {
+		if a.Phase != model.PhaseHeld || m.loadOf[i] <= limit || len(parts) == 0 || !overloaded[a.Owner] {
 			continue
 		}
 		at, loads := cutPoints(a, parts, limit*cutFill)
@@ -206,7 +211,7 @@
 func (m *plan) overloaded(mean float64) map[string]bool {
 	busy := map[string]float64{}
 	for i := range m.ranges {
-		busy[m.ranges[i].Owner] += m.p.load.of(m.now, &m.ranges[i])
+		busy[m.ranges[i].Owner] += m.loadOf[i]
 	}
 	out, chance := map[string]bool{}, m.chance()
 	for name, b := range busy {
@@ -254,16 +259,22 @@
 	return at, loads
 }
 
-// weight returns the weight of a range in the balance.
-func (m *plan) weight(a *model.Assignment) int64 {
-	base := int64(rangeWeight)
-	if m.ordered() {
-		base = int64(idleShare * rangeWeight * model.OrderedRanges * (float64(a.Last-a.First) / math.MaxUint64))
-	}
-	if m.busy == 0 {
-		return max(1, base)
+// weigh sets the weights of the ranges in the balance.
+func (m *plan) weigh() {
+	m.weights = make([]int64, len(m.ranges))
+	ordered, perSlot := m.ordered(), m.perSlot()
+	for i := range m.ranges {
+		base := int64(rangeWeight)
+		if ordered {
+			width := float64(m.ranges[i].Last-m.ranges[i].First) / math.MaxUint64
+			base = int64(idleShare * rangeWeight * model.OrderedRanges * width)
+		}
+		if m.busy == 0 {
+			m.weights[i] = max(1, base)
+			continue
+		}
+		m.weights[i] = base + int64(m.loadOf[i]*perSlot)
 	}
-	return base + int64(m.p.load.of(m.now, a)*m.perSlot())
 }
 
 // perSlot returns the weight of one occupied slot. A load that is small for the service says little of what is to come.
@@ -321,17 +332,18 @@
 // assignOpen gives an owner to each range that nobody can act for, and counts the ranges that will follow for the
 // upstreams that will get them: balance would take as many ranges again from the others otherwise.
 func (m *plan) assignOpen() {
-	var waiting []model.Assignment
+	var waiting []int
 	for i := range m.ranges {
 		a := &m.ranges[i]
 		if a.Phase != model.PhaseHeld {
-			waiting = append(waiting, *a)
+			waiting = append(waiting, i)
 		} else if _, ok := m.loads[a.Owner]; ok {
-			m.loads[a.Owner] += m.weight(a)
+			m.loads[a.Owner] += m.weights[i]
 		}
 	}
-	slices.SortStableFunc(waiting, func(a, b model.Assignment) int { return cmp.Compare(m.weight(&b), m.weight(&a)) })
-	for _, a := range waiting {
+	slices.SortStableFunc(waiting, func(i, k int) int { return cmp.Compare(m.weights[k], m.weights[i]) })
+	for _, i := range waiting {
+		a := m.ranges[i]
 		if m.merged[a.ID] {
 			continue
 		}
@@ -343,11 +355,11 @@
 			continue
 		}
 		if h, ok := m.p.load.hottest(m.hot, a); ok && open && len(m.targets) > 1 {
-			m.split(a, h)
+			m.split(i, h)
 			continue
 		}
-		name := m.target(&a, open)
-		m.loads[name] += m.weight(&a)
+		name := m.target(i, open)
+		m.loads[name] += m.weights[i]
 		if open && m.p.present(m.now, name) {
 			delete(m.p.incoming, a.ID)
 			m.cs = append(m.cs, state.Command{Assign: &state.Assign{
@@ -359,7 +371,8 @@
 
 // target returns the upstream that is to get a range: the one chosen when it was taken, if that can still get it. A range
 // that is open goes to one that can get it soon.
-func (m *plan) target(a *model.Assignment, open bool) string {
+func (m *plan) target(i int, open bool) string {
+	a := &m.ranges[i]
 	if !m.p.cfg.SlowAnnouncements {
 		name := m.lightest()
 		m.p.incoming[a.ID] = name
@@ -375,7 +388,7 @@
 	name := to
 	switch {
 	case open:
-		name = m.next(m.weight(a))
+		name = m.next(m.weights[i])
 		if chosen && m.wait(m.now, to) <= m.wait(m.now, name)+betterWait {
 			name = to
 		}
@@ -390,8 +403,8 @@
 func (m *plan) next(w int64) string {
 	if m.byWait == nil {
 		total := int64(0)
-		for i := range m.ranges {
-			total += m.weight(&m.ranges[i])
+		for _, x := range m.weights {
+			total += x
 		}
 		m.room = total / int64(len(m.loads))
 		if m.busy > 0 {
@@ -434,12 +447,13 @@
 }
 
 // split gives the key a range of its own at the lightest upstream; the rest goes back to its owner.
-func (m *plan) split(a model.Assignment, hash uint64) {
+func (m *plan) split(i int, hash uint64) {
+	a := m.ranges[i]
 	rest := a.Owner
 	if !slices.Contains(m.targets, rest) {
 		rest = m.lightest()
 	}
-	total := m.weight(&a)
+	total := m.weights[i]
 	busy := 1.0
 	if r := m.p.load.ranges[a.ID]; r > 0 {
 		busy = min(1, m.p.load.keys[hotKey{a.Service, hash}]/r)
@@ -467,10 +481,10 @@
 func (m *plan) merge(g *merge) {
 	var parts []state.Release
 	weight := int64(0)
-	for _, a := range m.ranges {
+	for i, a := range m.ranges {
 		if slices.Contains(g.parts, a.ID) && a.Phase != model.PhaseHeld && m.p.free(m.now, a) {
 			parts = append(parts, state.Release{Range: a.ID, Epoch: a.Epoch})
-			weight += m.weight(&a)
+			weight += m.weights[i]
 		}
 	}
 	if len(parts) < len(g.parts) {
@@ -582,7 +596,7 @@
 		if _, ok := m.loads[a.Owner]; ok && a.Phase == model.PhaseHeld && !taken[a.ID] {
 			byOwner[a.Owner] = append(byOwner[a.Owner], i)
 		}
-		total += m.weight(a)
+		total += m.weights[i]
 	}
 	tolerance := int64(0)
 	slack := slack
@@ -604,15 +618,16 @@
 		if k < 0 || m.ordered() && !heavy && !light {
 			return
 		}
-		a := m.ranges[byOwner[from][k]]
+		i := byOwner[from][k]
+		a, w := m.ranges[i], m.weights[i]
 		if heavy {
-			to = m.receiver(from, to, m.weight(&a))
+			to = m.receiver(from, to, w)
 		}
 		byOwner[from] = slices.Delete(byOwner[from], k, k+1)
 		release(a)
 		m.p.incoming[a.ID] = to
-		m.loads[from] -= m.weight(&a)
-		m.loads[to] += m.weight(&a)
+		m.loads[from] -= w
+		m.loads[to] += w
 	}
 }
 
@@ -655,7 +670,7 @@
 func (m *plan) bestMove(held []int, difference int64) int {
 	best, left := -1, difference
 	for k, i := range held {
-		w := m.weight(&m.ranges[i])
+		w := m.weights[i]
 		if rest := max(difference-2*w, 2*w-difference); rest < left {
 			best, left = k, rest
 		}
--- a/internal/route/sketch.go
+++ b/internal/route/sketch.go
@@ -29,7 +29,7 @@
 	return &sketch[K]{size: size, index: make(map[K]int, size)}
 }
 
-func (k *sketch[K]) add(key K, weight float64) {
+func (k *sketch[K]) add(key K, weight, count float64) {
 	i, ok := k.index[key]
 	switch {
 	case ok:
@@ -45,7 +45,7 @@
 		c.key, c.over, c.count = key, c.weight, 0
 	}
 	k.counters[i].weight += weight
-	k.counters[i].count++
+	k.counters[i].count += count
 }
 
 func (k *sketch[K]) lightest() int {
@@ -143,18 +143,18 @@
 }
 
 func (m *meter) add(now time.Duration, service string, hash, rangeID uint64, elapsed time.Duration) {
-	m.addRange(now, rangeID, elapsed)
-	m.keys.add(keyID{service: service, hash: hash}, elapsed.Seconds())
+	m.addRange(now, rangeID, elapsed, 1)
+	m.keys.add(keyID{service: service, hash: hash}, elapsed.Seconds(), 1)
 }
 
-func (m *meter) addRange(now time.Duration, rangeID uint64, elapsed time.Duration) {
+func (m *meter) addRange(now time.Duration, rangeID uint64, elapsed time.Duration, count float64) {
 	m.age(now)
-	m.ranges.add(rangeID, elapsed.Seconds())
+	m.ranges.add(rangeID, elapsed.Seconds(), count)
 }
 
 // addPosition counts load of an ordered range at a position in it.
-func (m *meter) addPosition(now time.Duration, a model.Assignment, position uint64, elapsed time.Duration) {
-	m.addRange(now, a.ID, elapsed)
+func (m *meter) addPosition(now time.Duration, a model.Assignment, position uint64, elapsed time.Duration, count float64) {
+	m.addRange(now, a.ID, elapsed, count)
 	ps := m.parts[a.ID]
 	if ps == nil {
 		ps = new([LoadParts]float64)
--- a/internal/route/view.go
+++ b/internal/route/view.go
@@ -197,11 +197,18 @@
 	v.meter.add(now, service, hash, rangeID, elapsed)
 }
 
-// RecordPosition is Record for an ordered service, whose ranges are cut without regard to single keys.
-func (v *View) RecordPosition(now time.Duration, a model.Assignment, position uint64, elapsed time.Duration) {
+// RecordPosition counts a request for a key of an ordered service, whose ranges are cut without regard to single keys.
+func (v *View) RecordPosition(now time.Duration, a model.Assignment, position uint64, usual time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.meter.addPosition(now, a, position, elapsed)
+	v.meter.addPosition(now, a, position, usual, 1)
+}
+
+// RecordWait adds the time that a request counted by RecordPosition took longer than usual.
+func (v *View) RecordWait(now time.Duration, a model.Assignment, position uint64, more time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.meter.addPosition(now, a, position, more, 0)
 }
 
 const (
