--- a/internal/owner/moves.go
+++ b/internal/owner/moves.go
@@ -401,16 +401,17 @@
 
 // next returns the upstream that can get a range of weight w soonest without becoming much heavier than the mean.
 func (m *plan) next(w int64) string {
+	if m.busy == 0 {
+		// Without requests, time matters less than an even start: busy keys are close to one another, and an upstream that
+		// gets one range after the other gets all of them.
+		return m.lightest()
+	}
 	if m.byWait == nil {
 		total := int64(0)
 		for _, x := range m.weights {
 			total += x
 		}
-		m.room = total / int64(len(m.loads))
-		if m.busy > 0 {
-			// Without requests, time matters less than an even start.
-			m.room += m.room * openRoomPercent / 100
-		}
+		m.room = total / int64(len(m.loads)) * (100 + openRoomPercent) / 100
 		m.byWait = slices.Clone(m.targets)
 		slices.SortStableFunc(m.byWait, func(a, b string) int { return cmp.Compare(m.wait(m.now, a), m.wait(m.now, b)) })
 	}
