--- a/internal/owner/moves.go
+++ b/internal/owner/moves.go
@@ -430,6 +430,9 @@
 	betterWait = 100 * time.Millisecond
 )
 
+// overdueTime is how late an announcement may be that is still expected.
+const overdueTime = 200 * time.Millisecond
+
 // wait estimates how long after free an upstream can get a range in the answer to an announcement.
 func (m *plan) wait(free time.Duration, to string) time.Duration {
 	interval := m.p.cfg.AnnounceInterval
@@ -440,6 +443,10 @@
 	if m.now < l.presentUntil && free <= m.now {
 		return 0
 	}
+	if m.now > l.answered+interval+overdueTime {
+		// It may have ended, and is the last to wait for.
+		return m.p.cfg.freshFor()
+	}
 	at := m.p.nextHeard(m.now, l)
 	for at < free-AwaitTime {
 		at += interval
@@ -611,14 +618,20 @@
 	}
 	chance := m.chance()
 	perSlot := m.perSlot()
-	for len(taken) < budget {
-		from, to := m.heaviest(), m.lightest()
+	// A single hot key may be more than its owner can take, and no move helps: others must not wait for that one.
+	stuck := map[string]bool{}
+	for len(taken) < budget && len(stuck) < len(m.loads) {
+		from, to := m.heaviest(stuck), m.lightest()
 		heavy := m.loads[from] > mean+tolerance+int64(chance[from]*perSlot)
 		light := m.loads[to] < mean/lightDivisor
 		k := m.bestMove(byOwner[from], m.loads[from]-m.loads[to]-tolerance)
-		if k < 0 || m.ordered() && !heavy && !light {
+		if m.ordered() && !heavy && !light || m.loads[from] <= m.loads[to]+tolerance {
 			return
 		}
+		if k < 0 {
+			stuck[from] = true
+			continue
+		}
 		i := byOwner[from][k]
 		a, w := m.ranges[i], m.weights[i]
 		if heavy {
@@ -690,9 +703,13 @@
 	return best
 }
 
-func (m *plan) heaviest() string {
+// heaviest returns the upstream with the largest load that is not in skipped, the first by name among equals.
+func (m *plan) heaviest(skipped map[string]bool) string {
 	best := ""
 	for name, w := range m.loads {
+		if skipped[name] {
+			continue
+		}
 		if best == "" || w > m.loads[best] || (w == m.loads[best] && name < best) {
 			best = name
 		}
--- a/internal/owner/rows_test.go
+++ b/internal/owner/rows_test.go
@@ -320,6 +320,8 @@
 	// rate is the number of requests a second for all keys together.
 	rate float64
 	r    *rand.Rand
+	// hot maps positions to the requests a second for their ranges that come on top.
+	hot map[uint64]float64
 	// cuts and moves count what the planner did.
 	cuts, moves int
 	// watched maps positions to the share of the keys that each stands for; unowned is the sum of the times in seconds that
@@ -361,6 +363,11 @@
 	one := platformRequest.Seconds() / platformWindow.Seconds()
 	for _, a := range f.machine.Model().Ranges {
 		mean := f.rate * platformWindow.Seconds() * (float64(a.Last-a.First) / math.MaxUint64)
+		for p, rate := range f.hot {
+			if a.First <= p && p <= a.Last {
+				mean += rate * platformWindow.Seconds()
+			}
+		}
 		n := 0.0
 		for p := f.r.ExpFloat64(); p < mean; p += f.r.ExpFloat64() {
 			n++
@@ -498,3 +505,57 @@
 		f.planner.Tick(f.now, f.machine.Model())
 	}
 }
+
+// Guards against a fleet that is no longer balanced because one key is more than its owner can take: no range of any other
+// upstream moved for 12 s (clc-gateway-grown, trouble-1).
+func TestOneHotKeyDoesNotStopTheBalance(t *testing.T) {
+	f := newPlatformFleet(t, 40)
+	f.hot = map[uint64]float64{f.machine.Model().Ranges[0].First: 500}
+	f.run(10 * time.Second)
+	busy := f.machine.Model().Ranges[len(f.machine.Model().Ranges)/2]
+	for i, a := range f.machine.Model().Ranges {
+		if a.Owner == busy.Owner && i > 0 {
+			f.hot[a.First] = 12
+		}
+	}
+	f.run(10 * time.Second)
+	for p := range f.hot {
+		if i, _ := f.machine.Model().Find("styles", p); i > 0 && f.machine.Model().Ranges[i].Owner == busy.Owner {
+			delete(f.hot, p)
+		}
+	}
+	if len(f.hot) < 3 {
+		t.Errorf("an upstream with far too many requests gave up %d busy ranges in 10 s", len(f.hot)-1)
+	}
+}
+
+func (f *platformFleet) owned(name string) int {
+	n := 0
+	for _, a := range f.machine.Model().Ranges {
+		if a.Owner == name {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against ranges that wait for upstreams that have fallen silent, while others report all the time: those were
+// overdue, so they seemed to report next.
+func TestOpenRangesDoNotWaitForSilentUpstreams(t *testing.T) {
+	f := newPlatformFleet(t, 60)
+	f.run(20 * time.Second)
+	for _, h := range f.upstreams[:6] {
+		h.leaving = true
+	}
+	for _, h := range f.upstreams[6:26] {
+		h.dead = true
+	}
+	f.run(2*rowsBeat + 300*time.Millisecond)
+	left := 0
+	for _, h := range f.upstreams[:6] {
+		left += f.owned(h.name)
+	}
+	if left > 0 {
+		t.Errorf("%d ranges of upstreams that leave have no next owner yet", left)
+	}
+}
