--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -49,6 +49,7 @@
 	m.Handle(peer.PathReplica, peer.Handle(peer.MaxBodyBytes, c.replica)).Methods(http.MethodPost)
 	m.Handle(peer.PathJoin, peer.Handle(peer.MaxBodyBytes, c.join)).Methods(http.MethodPost)
 	m.Handle(peer.PathRenew, peer.Handle(peer.MaxBodyBytes, c.renew)).Methods(http.MethodPost)
+	m.Handle(peer.PathTable, peer.Handle(peer.MaxBodyBytes, c.table)).Methods(http.MethodPost)
 	m.Handle(peer.PathCrash, peer.Handle(peer.MaxBodyBytes, c.crash)).Methods(http.MethodPost)
 	m.Handle(peer.PathPermit, peer.Handle(peer.MaxBodyBytes, c.permit)).Methods(http.MethodPost)
 	c.operate.mountControl(m)
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -125,7 +125,7 @@
 			limit.NewHost, newGuard, newAudit, newGate, newPipes, newDirectory, newRegistry,
 		),
 		// Stopped in the reverse order: callers are served to the end with a table that is kept fresh.
-		fx.Invoke(limitMemory, startReloader, startReplica, startDirectory, startGauges, startGate, startGatewayListeners),
+		fx.Invoke(limitMemory, startReloader, startReplica, startDirectory, startGauges, startGate, startFirstTable, startGatewayListeners),
 	)
 }
 
--- a/internal/gate/budget.go
+++ b/internal/gate/budget.go
@@ -14,8 +14,10 @@
 }
 
 const (
-	// budgetUse is the part of the bound that is used: hosts don't see each other's sends.
-	budgetUse = 0.75
+	// ratioUse and slackUse are the parts of the bound that are used. A full slack and half of it again may be used within a
+	// window, so together they stay below the bound however the hosts' sends coincide.
+	ratioUse = 0.95
+	slackUse = 0.6
 	// minBurst lets a host retry at all where many hosts share the slack.
 	minBurst = 1.0
 )
@@ -41,7 +43,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t := b.of(now, service, hosts)
-	t.left = min(b.burst(hosts), t.left+b.cfg.Ratio*budgetUse)
+	t.left = min(b.burst(hosts), t.left+b.cfg.Ratio*ratioUse)
 }
 
 // Take allows one more send of a request, or returns false.
@@ -57,7 +59,7 @@
 }
 
 func (b *Budget) burst(hosts int) float64 {
-	return max(minBurst, b.cfg.Slack*budgetUse/float64(max(1, hosts)))
+	return max(minBurst, b.cfg.Slack*slackUse/float64(max(1, hosts)))
 }
 
 // of returns the tokens of a service; the slack comes back over one window.
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -100,6 +100,9 @@
 		host = h
 	}
 	rt, ok := findRoute(t, host, r.URL.Path)
+	if !ok && c.gate.cfg.View.Provisional() {
+		return c.refuse(proto.CodeNoLease, "the route is not in the table of a replica that may lack the last changes")
+	}
 	if !ok {
 		return reply{Answer: pipe.Answer{Status: http.StatusNotFound}, code: proto.CodeNotFound}
 	}
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -412,3 +412,21 @@
 	is.Equal(len(l.Ranges), 1)
 	is.True(l.Ranges[0].Busy*2 > 20*work.Seconds()) // counts stand for up to two seconds
 }
+
+// Guards against a host that knows the table of some replica only and says that a route does not exist: the replica may
+// lack the change that added it.
+func TestAProvisionalTableServesButDeniesNothing(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	b := newBackend(t, serves)
+	f.table(7, true, up("u1", b))
+	table, _ := f.view.Table()
+	g := newFixture(t)
+	is.True(g.view.Provide(g.clock(), table))
+	is.True(!g.view.Provide(g.clock(), table)) // once there is a table, only a leader's replaces it
+	is.Equal(g.do("GET", "/o/1", "").StatusCode, http.StatusOK)
+	is.Equal(g.do("GET", "/none/", "").StatusCode, http.StatusServiceUnavailable)
+	is.True(!g.view.Leased(g.clock()))
+	g.table(8, true, up("u1", b))
+	is.Equal(g.do("GET", "/none/", "").StatusCode, http.StatusNotFound)
+}
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"baobabreach/internal/model"
@@ -231,6 +232,27 @@
 	byFrom  map[uint64][]byte
 }
 
+// UnledTable returns the packed table of this replica while no leader is known. It may be a few changes old.
+func (n *Node) UnledTable() ([]byte, error) {
+	n.watchMu.Lock()
+	led := n.leaderKnown
+	n.watchMu.Unlock()
+	if led {
+		return nil, n.notLeader()
+	}
+	s := n.model.Load()
+	if len(s.Routes) == 0 {
+		return nil, proto.NotRun(proto.CodeNoLeader, http.StatusServiceUnavailable, "this replica holds no configuration")
+	}
+	n.ownerMu.Lock()
+	defer n.ownerMu.Unlock()
+	l := owner.Lease{Version: s.Version, Table: route.NewTable(s)}
+	if err := n.packs.fill(&l, 0); err != nil {
+		return nil, err
+	}
+	return l.Packed, nil
+}
+
 // fill replaces the table or delta of a lease by its packed form.
 func (p *packs) fill(l *owner.Lease, from uint64) error {
 	if p.version != l.Version || p.byFrom == nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -144,6 +144,7 @@
 func New(cfg Config) (*Node, error) {
 	cfg.Timing = cmp.Or(cfg.Timing, DefaultTiming)
 	cfg.CompactEntries = cmp.Or(cfg.CompactEntries, compactEntries)
+	cfg.Planner.History = &owner.History{}
 	n := &Node{
 		cfg: cfg, inbox: make(chan []raft.Message, inboxLength), proposed: make(chan proposal, inboxLength),
 		joining: make(chan joinRequest), stopped: make(chan struct{}), state: state.New(),
@@ -395,6 +396,7 @@
 func (n *Node) followLeadership() {
 	n.ownerMu.Lock()
 	defer n.ownerMu.Unlock()
+	n.cfg.Planner.History.Observe(n.state.Model())
 	if !n.raft.Ready() {
 		n.planner = nil
 		return
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -15,6 +16,7 @@
 	"baobabreach/internal/raft"
 	"baobabreach/internal/state"
 	"baobabreach/internal/store"
+	"baobabreach/pkg/proto"
 )
 
 // BenchmarkPropose measures synced commits of a group of one replica, with 1 and 64 concurrent proposals.
@@ -56,3 +58,39 @@
 		})
 	}
 }
+
+// Guards against calls that are made again and again while a leader is elected, and against tables of replicas that are
+// handed out although a leader has a newer one.
+func TestCallsWaitForALeader(t *testing.T) {
+	is := is.New(t)
+	start := func(members raft.Members, self raft.Member) *node.Node {
+		s, l, err := store.Open(t.TempDir())
+		is.NoErr(err)
+		begin := time.Now()
+		n, err := node.New(node.Config{
+			Self: self, Store: s, Loaded: l, Members: members, Random: rand.Int64N,
+			Clock: func() time.Duration { return time.Since(begin) }, WallMs: func() int64 { return 0 },
+			Log: slog.New(slog.DiscardHandler), Send: func(raft.Member, []raft.Message) {},
+		})
+		is.NoErr(err)
+		ctx, cancel := context.WithCancel(context.Background())
+		t.Cleanup(cancel)
+		go func() { _ = n.Run(ctx) }()
+		return n
+	}
+	a := raft.Member{ID: "a", Host: "a"}
+	waits := func(n *node.Node, d time.Duration) bool {
+		ctx, cancel := context.WithTimeout(context.Background(), d)
+		defer cancel()
+		n.AwaitLeader(ctx)
+		return ctx.Err() != nil
+	}
+	alone := start(raft.Members{Voters: []raft.Member{a, {ID: "b"}, {ID: "c"}}}, a)
+	is.True(waits(alone, time.Second))
+	_, err := alone.UnledTable()
+	is.True(err != nil) // it holds no configuration
+	leads := start(raft.Members{Voters: []raft.Member{a}}, a)
+	is.True(!waits(leads, 5*time.Second))
+	_, err = leads.UnledTable()
+	is.True(strings.Contains(err.Error(), string(proto.CodeNotLeader)))
+}
--- a/internal/owner/history.go
+++ b/internal/owner/history.go
@@ -16,8 +16,10 @@
 	name    string
 }
 
-// history knows what changed since a version. Ranges carry the version of their last change themselves.
-type history struct {
+// History knows what changed since a version. Ranges carry the version of their last change themselves. Replicas keep one
+// whether they lead or not, so that a new leader need not send a whole table to each host. It is not safe for concurrent
+// use.
+type History struct {
 	seen *model.State
 	// base is the oldest version from which the changes are known.
 	base uint64
@@ -29,16 +31,16 @@
 	boundsAt uint64
 }
 
-// observe records the differences to the state seen before. It returns false if there is nothing new.
-func (h *history) observe(s *model.State) bool {
+// Observe records the differences to the state seen before.
+func (h *History) Observe(s *model.State) {
 	old := h.seen
 	if old != nil && s.Version <= old.Version {
-		return false
+		return
 	}
 	h.seen = s
 	if old == nil {
 		h.base = s.Version
-		return true
+		return
 	}
 	for name, u := range s.Upstreams {
 		if was, ok := old.Upstreams[name]; !ok || was != u {
@@ -62,11 +64,10 @@
 		h.base = max(h.base, h.routes[over-1].version)
 		h.routes = append([]nameChange(nil), h.routes[over:]...)
 	}
-	return true
 }
 
 // observeItems records the routes and bounds that changed.
-func (h *history) observeItems(old, s *model.State) {
+func (h *History) observeItems(old, s *model.State) {
 	if old.ItemsVersion == s.ItemsVersion {
 		return
 	}
@@ -108,7 +109,7 @@
 }
 
 // since returns the changes after the version, or the whole table if that isn't larger.
-func (h *history) since(s *model.State, version uint64) (*route.Table, *route.Delta) {
+func (h *History) since(s *model.State, version uint64) (*route.Table, *route.Delta) {
 	if version < h.base {
 		return route.NewTable(s), nil
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -93,12 +93,17 @@
 	// FirstWait delays the first assignment of a service after the last new upstream was heard, so that the others can
 	// be heard too.
 	FirstWait time.Duration
+	// History is that of the replica; nil stands for a new one.
+	History *History
 }
 
 func (c Config) withDefaults() Config {
 	c.GrantTTL = cmp.Or(c.GrantTTL, proto.GrantTTL)
 	c.LeaseTTL = cmp.Or(c.LeaseTTL, LeaseTTL)
 	c.AnnounceInterval = cmp.Or(c.AnnounceInterval, proto.AnnounceInterval)
+	if c.History == nil {
+		c.History = &History{}
+	}
 	return c
 }
 
@@ -169,14 +174,16 @@
 	hosts     map[string]*entryHost
 	// quietUntil is when every grant and lease of an earlier leader has ended.
 	quietUntil time.Duration
-	history    history
-	load       load
-	limits     *limit.Dealer
-	index      rangeIndex
-	list       daemonList
-	lives      lives
-	handovers  handovers
-	lookedAt   look
+	history    *History
+	// seen is the version of the last state that was looked at.
+	seen      uint64
+	load      load
+	limits    *limit.Dealer
+	index     rangeIndex
+	list      daemonList
+	lives     lives
+	handovers handovers
+	lookedAt  look
 	// incoming maps a range that is being taken from its owner to the upstream that is to get it.
 	incoming map[uint64]string
 	// heard is when the first and the latest upstream of a service were first heard by this leader.
@@ -193,7 +200,7 @@
 	p := &Planner{
 		cfg: cfg, timing: t, upstreams: map[string]*liveness{}, hosts: map[string]*entryHost{}, load: newLoad(),
 		limits: limit.NewDealer(now + t.margin(max(cfg.GrantTTL, cfg.LeaseTTL))), lives: newLives(),
-		incoming: map[uint64]string{}, heard: map[string]span{},
+		incoming: map[uint64]string{}, heard: map[string]span{}, history: cfg.History,
 	}
 	if t.waitPredecessor {
 		p.quietUntil = now + t.margin(max(cfg.GrantTTL, cfg.LeaseTTL))
@@ -474,9 +481,11 @@
 
 // observe takes note of a new state.
 func (p *Planner) observe(s *model.State) {
-	if !p.history.observe(s) {
+	if s.Version <= p.seen && p.seen > 0 {
 		return
 	}
+	p.seen = s.Version
+	p.history.Observe(s)
 	for name, u := range s.Upstreams {
 		if p.upstreams[name] == nil {
 			p.upstreams[name] = &liveness{info: u, grantedUntil: p.quietUntil, released: map[proto.Fence]bool{}}
--- a/internal/owner/rows_test.go
+++ b/internal/owner/rows_test.go
@@ -559,3 +559,21 @@
 		t.Errorf("%d ranges of upstreams that leave have no next owner yet", left)
 	}
 }
+
+// Guards against a new leader that sends a whole table to each of a hundred hosts with links of 2 Mbit/s, which takes them
+// a third of a second in which requests wait.
+func TestANewLeaderSendsChangesOnly(t *testing.T) {
+	is := is.New(t)
+	f := newPlatformFleet(t, 40)
+	h := &owner.History{}
+	h.Observe(f.machine.Model())
+	before := f.machine.Model().Version
+	f.upstreams[0].leaving = true
+	f.run(2 * rowsBeat)
+	h.Observe(f.machine.Model())
+	p := owner.New(owner.Config{GrantTTL: rowsTTL, History: h}, f.now)
+	l := p.Renew(f.now, f.machine.Model(), owner.Renewal{Daemon: route.Daemon{Host: "h"}, TableVersion: before})
+	is.True(l.Table == nil)
+	is.True(l.Delta != nil)
+	is.Equal(l.Delta.From, before)
+}
--- a/internal/peer/leader.go
+++ b/internal/peer/leader.go
@@ -17,6 +17,7 @@
 	PathReplica  = "/control/v1/replica"
 	PathAnnounce = "/control/v1/announce"
 	PathRenew    = "/control/v1/renew"
+	PathTable    = "/control/v1/table"
 	PathWatch    = "/control/v1/watch"
 	PathPropose  = "/control/v1/propose"
 	PathCrash    = "/control/v1/crash"
--- a/internal/route/view.go
+++ b/internal/route/view.go
@@ -27,6 +27,8 @@
 	// been leaving.
 	updatedAt time.Duration
 	leaving   map[string]time.Duration
+	// provisional is true for a table that no leader gave.
+	provisional bool
 	// reported is the time of the last load report.
 	reported time.Duration
 }
@@ -79,10 +81,33 @@
 		v.changed = make(chan struct{})
 	}
 	if v.table.Version >= u.Version {
+		v.provisional = false
 		v.leaseUntil = max(v.leaseUntil, sentAt+u.TTL)
 	}
 }
 
+// Provide takes the table of a replica that does not lead, which may be a few changes old. It returns false if the host
+// has a table. Such a table gives no lease.
+func (v *View) Provide(sentAt time.Duration, t *Table) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.table.Version > 0 || t.Version == 0 {
+		return false
+	}
+	v.table, v.provisional = t, true
+	v.noteLeaving(sentAt, false)
+	close(v.changed)
+	v.changed = make(chan struct{})
+	return true
+}
+
+// Provisional tells whether the table is one of Provide.
+func (v *View) Provisional() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.provisional
+}
+
 const (
 	// maxUpdateGap is the longest time between two renewals of a host that follows the changes: one that waits a second
 	// for a change, and its answer.
