--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -312,7 +312,7 @@
 	log = logs.Part(log, "replica")
 	self := raft.Member{ID: loaded.Identity.ID, Host: cfg.Host, Address: cfg.Control}
 	planner, voters, timing, publish := owner.Config{MaxMoves: cfg.MaxMoves}, 0, node.DefaultTiming, time.Duration(0)
-	compact := uint64(0)
+	compact, perHost := uint64(0), time.Duration(0)
 	firstStart := true
 	raftAddress := func(control string) string { return control }
 	if g := cfg.Gateway; g != nil {
@@ -321,7 +321,7 @@
 		cfg.Replicas = seedReplicas(cfg)
 		raftAddress = nextPort
 		planner, timing, publish = gatewayPlanner(cfg), gatewayTiming, gatewayPublish
-		compact = gatewayCompact
+		compact, perHost = gatewayCompact, gatewayPublishPerHost
 	}
 	r.info.Store(&replicaInfo{Member: self, Members: loaded.Identity.Members, FirstStart: firstStart})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -338,7 +338,7 @@
 			Self: self, Store: st, Loaded: loaded, Members: ms, Replicas: cfg.Replicas, Random: rand.Int64N, Clock: now,
 			WallMs: func() int64 { return time.Now().UnixMilli() },
 			Send:   newSender(ctx, c.control, t.control, raftAddress).send, Log: log,
-			Planner: planner, Voters: voters, Timing: timing, PublishInterval: publish,
+			Planner: planner, Voters: voters, Timing: timing, PublishInterval: publish, PublishPerHost: perHost,
 			CompactEntries: compact, InitialSet: cfg.Services, InitialLimits: cfg.Limits,
 			Audit: ring,
 		})
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -43,6 +43,9 @@
 	gatewayRenewRetry = 300 * time.Millisecond
 	// gatewayPublish is the least time between two tables. Upstreams that leave serve for two seconds more.
 	gatewayPublish = 100 * time.Millisecond
+	// gatewayPublishPerHost lengthens it for large fleets: four tables a second for a hundred hosts are a tenth of all bytes
+	// between data centres.
+	gatewayPublishPerHost = 2500 * time.Microsecond
 	// gatewayCompact bounds the entries that a replica applies again after a restart: each copies a list of up to a
 	// thousand ranges, which takes a small machine about a millisecond, and the loop that sends heartbeats waits for all.
 	gatewayCompact  = 64
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -180,12 +180,24 @@
 // one update that is packed once for all hosts. The caller holds ownerMu.
 func (n *Node) table(now time.Duration) *model.State {
 	s := n.model.Load()
-	if n.published == nil || s.Version < n.published.Version || now-n.publishedAt >= n.cfg.PublishInterval {
+	if n.published == nil || s.Version < n.published.Version || now-n.publishedAt >= n.publishInterval() {
 		n.published, n.publishedAt = s, now
 	}
 	return n.published
 }
 
+// publishInterval grows with the number of hosts, since each table goes to all of them. The caller holds ownerMu.
+func (n *Node) publishInterval() time.Duration {
+	hosts := 0
+	if n.planner != nil {
+		hosts = n.planner.HostCount()
+	}
+	return max(n.cfg.PublishInterval, min(time.Duration(hosts)*n.cfg.PublishPerHost, maxPublishInterval))
+}
+
+// maxPublishInterval bounds how old the table of hosts may be: upstreams that leave serve for two seconds more.
+const maxPublishInterval = 300 * time.Millisecond
+
 // untilPublished returns the time until a newer table than have may be given, or false if there is none.
 func (n *Node) untilPublished(have uint64) (time.Duration, bool) {
 	n.ownerMu.Lock()
@@ -197,7 +209,7 @@
 	if n.model.Load().Version == have {
 		return 0, false
 	}
-	return n.publishedAt + n.cfg.PublishInterval - now, true
+	return n.publishedAt + n.publishInterval() - now, true
 }
 
 // AwaitNewer returns once there is something that the host lacks, or ctx ends.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -61,6 +61,8 @@
 	CompactEntries uint64
 	// PublishInterval is the least time between two tables for hosts; 0 publishes each change.
 	PublishInterval time.Duration
+	// PublishPerHost lengthens it in proportion to the number of hosts.
+	PublishPerHost time.Duration
 	// Timing is DefaultTiming if zero.
 	Timing Timing
 	// Audit keeps the planner's decisions; nil keeps none.
--- a/internal/owner/query.go
+++ b/internal/owner/query.go
@@ -39,3 +39,6 @@
 	}
 	return out
 }
+
+// HostCount returns the number of hosts that were heard lately.
+func (p *Planner) HostCount() int { return len(p.hosts) }
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -1,6 +1,7 @@
 package route_test
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -43,3 +44,17 @@
 	v.Update(time.Second, route.Update{TTL: time.Second, Version: 9, Delta: &route.Delta{From: 5, Version: 9}})
 	is.True(v.Leased(time.Second))
 }
+
+// Guards against loads that get lost on their way to the leader: ranges would be spread by nothing.
+func TestLoadReportsComeBackWhole(t *testing.T) {
+	is := is.New(t)
+	sent := route.Load{PerSecond: 12.5, Ranges: []route.RangeLoad{
+		{Range: 7, Busy: 1.25}, {Range: 1 << 40, Busy: 0.003, Parts: []float64{0, 0.002, 0.001}},
+	}}
+	b, err := json.Marshal(sent)
+	is.NoErr(err)
+	var got route.Load
+	is.NoErr(json.Unmarshal(b, &got))
+	is.Equal(got, sent)
+	is.True(json.Unmarshal([]byte(`{"ranges":[[7]]}`), &got) != nil)
+}
--- a/internal/route/sketch.go
+++ b/internal/route/sketch.go
@@ -1,11 +1,14 @@
 package route
 
 import (
+	"encoding/json"
 	"math"
 	"slices"
 	"time"
 
 	"baobabreach/internal/model"
+
+	"github.com/go-faster/errors"
 )
 
 // counter is one monitored key of a sketch.
@@ -81,7 +84,7 @@
 	return out[:min(n, len(out))]
 }
 
-// Sizes of a load report. A report of 16 keys and 64 ranges takes about 3 KB of JSON at most; ranges without
+// Sizes of a load report. A report of 16 keys and 64 ranges takes about 2 KB of JSON at most; ranges without
 // requests are not in it.
 const (
 	reportedKeys   = 16
@@ -103,12 +106,41 @@
 
 // RangeLoad is the load of one range in occupied slots.
 type RangeLoad struct {
-	Range uint64  `json:"range"`
-	Busy  float64 `json:"busy"`
+	Range uint64
+	Busy  float64
 	// Parts is the load of LoadParts equal parts of a range of an ordered service, for the busiest of them.
-	Parts []float64 `json:"parts,omitempty"`
+	Parts []float64
+}
+
+// MarshalJSON writes the range, its load and the loads of its parts as one list, loads in thousandths of a slot: reports of
+// a hundred hosts make up a good part of the bytes between data centres.
+func (r RangeLoad) MarshalJSON() ([]byte, error) {
+	out := make([]uint64, 0, 2+len(r.Parts))
+	out = append(out, r.Range, thousandths(r.Busy))
+	for _, b := range r.Parts {
+		out = append(out, thousandths(b))
+	}
+	return json.Marshal(out)
+}
+
+// UnmarshalJSON reads what MarshalJSON wrote.
+func (r *RangeLoad) UnmarshalJSON(b []byte) error {
+	var in []uint64
+	if err := json.Unmarshal(b, &in); err != nil {
+		return err
+	}
+	if len(in) < 2 {
+		return errors.Errorf("load of a range has %d numbers", len(in))
+	}
+	*r = RangeLoad{Range: in[0], Busy: float64(in[1]) / 1000}
+	for _, x := range in[2:] {
+		r.Parts = append(r.Parts, float64(x)/1000)
+	}
+	return nil
 }
 
+func thousandths(busy float64) uint64 { return uint64(math.Round(max(0, busy) * 1000)) }
+
 // LoadParts is the number of parts that the load of a busy range is divided by.
 const LoadParts = 16
 
