--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -128,7 +128,10 @@
 			limit.NewHost, newGuard, newAudit, newGate, newPipes, newDirectory, newRegistry,
 		),
 		// Stopped in the reverse order: callers are served to the end with a table that is kept fresh.
-		fx.Invoke(limitMemory, startReloader, startReplica, startDirectory, startGauges, startGate, startFirstTable, startGatewayListeners),
+		fx.Invoke(
+			limitMemory, startReloader, startReplica, startDirectory, startGauges, startGate, startFirstTable,
+			startGatewayListeners,
+		),
 	)
 }
 
@@ -287,6 +290,9 @@
 					return errors.Wrapf(err, "listen for %s", x.name)
 				}
 				log.Info("listening", "part", x.name, "address", x.address)
+				if x.name == "control" || x.name == "raft" {
+					l = countedListener{Listener: l, metrics: p.Metrics}
+				}
 				go func() { _ = x.server.Serve(l) }()
 			}
 			return nil
@@ -335,6 +341,7 @@
 			go clock.Every(ctx, sweepInterval, func(context.Context) {
 				pool.SetMaxIdle(g.IdlePerUpstream(maxIdlePerUpstream))
 				pool.Sweep()
+				g.Sweep()
 			})
 			return nil
 		},
--- a/internal/daemon/gauges.go
+++ b/internal/daemon/gauges.go
@@ -6,6 +6,7 @@
 
 	"baobabreach/internal/clock"
 	"baobabreach/internal/config"
+	"baobabreach/internal/gate"
 	"baobabreach/internal/metric"
 	"baobabreach/internal/pipe"
 	"baobabreach/internal/raft"
@@ -24,6 +25,7 @@
 	Metrics *metric.Registry
 	View    *route.View
 	Pool    *pipe.Pool
+	Gate    *gate.Gate
 	Replica *replica
 	Clock   Clock
 }
@@ -54,6 +56,15 @@
 		p.Metrics.Gauge("upstream.reuses", s.Reuses)
 		p.Metrics.Gauge("upstream.stale_connections", s.Stale)
 		p.Metrics.Gauge("upstream.crossed_answers", s.Crossed)
+		g := p.Gate.Stats()
+		p.Metrics.Gauge("upstream.ejected", g.Ejected)
+		p.Metrics.Gauge("upstream.ejections", g.Ejections)
+		p.Metrics.Gauge("requests.in_flight", g.InFlight)
+		p.Metrics.Gauge("requests.waiting", g.Waiting)
+		p.Metrics.Gauge("requests.buffered_bytes", g.BufferedBytes)
+		for service, left := range g.BudgetLeft {
+			p.Metrics.Gauge("retry.budget_left."+service, int64(left))
+		}
 	}
 	n := p.Replica.node.Load()
 	if n == nil {
@@ -71,6 +82,10 @@
 	p.Metrics.Gauge("raft.voters", int64(len(s.Members.Voters)))
 	p.Metrics.Gauge("raft.learners", int64(len(s.Members.Learners)))
 	m := n.Model()
+	if left, ok := n.LeastGrantLeft(); ok {
+		p.Metrics.Gauge("grant.least_left_ms", left.Milliseconds())
+	}
+	p.Metrics.Gauge("disk.syncs", n.Syncs())
 	p.Metrics.Gauge("state.version", int64(m.Version))
 	p.Metrics.Gauge("state.upstreams", int64(len(m.Upstreams)))
 	p.Metrics.Gauge("state.ranges", int64(len(m.Ranges)))
--- a/internal/gate/budget.go
+++ b/internal/gate/budget.go
@@ -58,6 +58,17 @@
 	return true
 }
 
+// Left returns how many requests of each service may be sent again at present.
+func (b *Budget) Left() map[string]float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := map[string]float64{}
+	for name, t := range b.services {
+		out[name] = t.left
+	}
+	return out
+}
+
 func (b *Budget) burst(hosts int) float64 {
 	return max(minBurst, b.cfg.Slack*slackUse/float64(max(1, hosts)))
 }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -101,6 +101,29 @@
 	return max(1, n)
 }
 
+// Stats is what a Gate shows of itself.
+type Stats struct {
+	PickerStats
+	// BudgetLeft is the number of requests of each service that may be sent again at present.
+	BudgetLeft map[string]float64
+	// BufferedBytes are held of request bodies.
+	BufferedBytes int64
+}
+
+// Stats returns the present figures.
+func (g *Gate) Stats() Stats {
+	return Stats{
+		PickerStats: g.cfg.Picker.Stats(g.cfg.Clock()), BudgetLeft: g.cfg.Budget.Left(), BufferedBytes: g.buffered.Load(),
+	}
+}
+
+// Sweep forgets upstreams that are gone.
+func (g *Gate) Sweep() {
+	if t, _ := g.cfg.View.Table(); t.Version > 0 {
+		g.cfg.Picker.Forget(t.Upstreams)
+	}
+}
+
 // ServeHTTP answers one request of a caller.
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{gate: g, started: g.cfg.Clock(), id: r.Header.Get(g.cfg.Names.RequestID), tried: map[string]bool{}}
--- a/internal/gate/pick.go
+++ b/internal/gate/pick.go
@@ -66,6 +66,8 @@
 
 	mu     sync.Mutex
 	health map[string]*health
+	// ejections counts all of them.
+	ejections int64
 }
 
 // NewPicker returns a picker that prefers the data centre. random returns a number in [0, n).
@@ -239,6 +241,7 @@
 		if (h.inRow >= failuresToEject || h.failureRate > failureRateLimit) && now >= h.ejectedUntil {
 			h.ejectedUntil = now + min(maxEjection, minEjection<<min(h.ejections, 4))
 			h.ejections++
+			p.ejections++
 			h.failureRate = failureRateLimit / 2
 		}
 	case ResultRefused:
@@ -248,6 +251,40 @@
 	}
 }
 
+// PickerStats is what a Picker shows of itself.
+type PickerStats struct {
+	// Ejected is the number of upstreams that get no requests at present, Ejections that of all ejections since the start.
+	Ejected, Ejections int64
+	// InFlight and Waiting count requests.
+	InFlight, Waiting int64
+}
+
+// Stats returns the present figures.
+func (p *Picker) Stats(now time.Duration) PickerStats {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := PickerStats{Ejections: p.ejections}
+	for _, h := range p.health {
+		if now < h.ejectedUntil {
+			s.Ejected++
+		}
+		s.InFlight += int64(h.inFlight)
+		s.Waiting += int64(h.waiting)
+	}
+	return s
+}
+
+// Forget drops what was seen of upstreams that are not in us and have no request in flight.
+func (p *Picker) Forget(us map[string]model.Upstream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, h := range p.health {
+		if _, ok := us[name]; !ok && h.inFlight == 0 && h.waiting == 0 {
+			delete(p.health, name)
+		}
+	}
+}
+
 func (p *Picker) of(u model.Upstream) *health {
 	h := p.health[u.Name]
 	if h == nil || h.incarnation != u.Incarnation {
--- a/internal/gate/pick_test.go
+++ b/internal/gate/pick_test.go
@@ -123,3 +123,23 @@
 	}})
 	is.Equal(f.gate.IdlePerUpstream(6), 2)
 }
+
+// Guards against memory that grows with every upstream that ever was, and against figures that on-call engineers can't
+// trust.
+func TestPickerForgetsUpstreamsThatAreGone(t *testing.T) {
+	is := is.New(t)
+	p := newPicker()
+	us := pool(3, "a")
+	busy, ok := p.Pick(0, us, nil)
+	is.True(ok)
+	for range 3 {
+		u, _ := p.Pick(0, us[1:2], nil)
+		p.Done(0, u, gate.ResultFailed, time.Millisecond)
+	}
+	is.Equal(p.Stats(0), gate.PickerStats{Ejected: 1, Ejections: 1, InFlight: 1})
+	p.Forget(nil)
+	is.Equal(p.Stats(0), gate.PickerStats{Ejections: 1, InFlight: 1}) // a request in flight still needs its upstream
+	p.Done(0, busy, gate.ResultDone, time.Millisecond)
+	p.Forget(nil)
+	is.Equal(p.Stats(0), gate.PickerStats{Ejections: 1})
+}
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -97,6 +97,19 @@
 	return n.planner.Regrant(n.cfg.Clock(), n.model.Load(), a), nil
 }
 
+// LeastGrantLeft returns the time until the first grant of an upstream ends, or false on replicas that don't lead.
+func (n *Node) LeastGrantLeft() (time.Duration, bool) {
+	n.ownerMu.Lock()
+	defer n.ownerMu.Unlock()
+	if n.planner == nil {
+		return 0, false
+	}
+	return n.planner.LeastGrantLeft(n.cfg.Clock())
+}
+
+// Syncs returns the number of syncs of this replica's disk.
+func (n *Node) Syncs() int64 { return n.cfg.Store.Syncs() }
+
 // Depart notes on the leader that an upstream leaves, and returns true once the state says so.
 func (n *Node) Depart(name string) (bool, error) {
 	n.ownerMu.Lock()
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -496,16 +496,16 @@
 // forget drops what no longer matters: hosts without a lease and fences whose ranges have moved on.
 func (p *Planner) forget(now time.Duration, s *model.State) {
 	maps.DeleteFunc(p.hosts, func(_ string, h *entryHost) bool { return now >= h.leasedUntil })
-	kept := map[proto.Fence]bool{}
+	kept, present := map[proto.Fence]bool{}, map[uint64]bool{}
 	for i := range s.Ranges {
 		if s.Ranges[i].Phase == model.PhaseReleasing {
 			kept[s.Ranges[i].Fence()] = true
 		}
+		if _, ok := p.incoming[s.Ranges[i].ID]; ok {
+			present[s.Ranges[i].ID] = true
+		}
 	}
-	maps.DeleteFunc(p.incoming, func(id uint64, _ string) bool {
-		_, ok := s.RangeByID(id)
-		return !ok
-	})
+	maps.DeleteFunc(p.incoming, func(id uint64, _ string) bool { return !present[id] })
 	for _, l := range p.upstreams {
 		maps.DeleteFunc(l.released, func(f proto.Fence, _ bool) bool { return !kept[f] })
 	}
--- a/internal/owner/query.go
+++ b/internal/owner/query.go
@@ -40,5 +40,16 @@
 	return out
 }
 
+// LeastGrantLeft returns the time until the first grant of a live upstream ends, or false if there is none.
+func (p *Planner) LeastGrantLeft(now time.Duration) (time.Duration, bool) {
+	least, found := time.Duration(0), false
+	for _, l := range p.upstreams {
+		if left := l.grantedUntil - now; l.known && left > 0 && (!found || left < least) {
+			least, found = left, true
+		}
+	}
+	return least, found
+}
+
 // HostCount returns the number of hosts that were heard lately.
 func (p *Planner) HostCount() int { return len(p.hosts) }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -10,6 +10,7 @@
 	"encoding/hex"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 
 	"baobabreach/internal/errs"
 	"baobabreach/internal/raft"
@@ -62,6 +63,15 @@
 	// failed is the first error of a write. Nothing is written after it: a failed sync may have dropped pages that
 	// a second sync would report as written, and a record after a partial one could not be read.
 	failed error
+	syncs  atomic.Int64
+}
+
+// Syncs returns the number of syncs since the store was opened.
+func (s *Store) Syncs() int64 { return s.syncs.Load() }
+
+func (s *Store) sync(f *os.File) error {
+	s.syncs.Add(1)
+	return s.files.Sync(f)
 }
 
 type record struct {
@@ -113,7 +123,7 @@
 		if _, err := s.files.Write(s.file, b); err != nil {
 			return errors.Wrap(err, "write log")
 		}
-		return errs.Wrap(s.files.Sync(s.file), "sync log")
+		return errs.Wrap(s.sync(s.file), "sync log")
 	})
 }
 
@@ -324,7 +334,7 @@
 	if _, err := s.files.Write(f, b); err != nil {
 		return errors.Wrap(err, "write temporary file")
 	}
-	if err := s.files.Sync(f); err != nil {
+	if err := s.sync(f); err != nil {
 		return errors.Wrap(err, "sync temporary file")
 	}
 	if err := s.files.Rename(f.Name(), s.path(name)); err != nil {
@@ -341,5 +351,5 @@
 		return errors.Wrap(err, "open data folder")
 	}
 	defer func() { _ = d.Close() }()
-	return errs.Wrap(s.files.Sync(d), "sync data folder")
+	return errs.Wrap(s.sync(d), "sync data folder")
 }
