--- a/internal/owner/moves.go
+++ b/internal/owner/moves.go
@@ -524,7 +524,7 @@
 		}
 	}
 	// Until every upstream that the predecessor knew has announced itself or is gone, the loads are incomplete.
-	if m.now < m.p.quietUntil || len(m.loads) < 2 {
+	if m.now < m.p.settledAt || len(m.loads) < 2 {
 		return len(taken)
 	}
 	m.releaseHot(budget, taken, release)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -174,6 +174,8 @@
 	hosts     map[string]*entryHost
 	// quietUntil is when every grant and lease of an earlier leader has ended.
 	quietUntil time.Duration
+	// settledAt is when every upstream that the earlier leader knew has announced itself or is gone.
+	settledAt time.Duration
 	history    *History
 	// seen is the version of the last state that was looked at.
 	seen      uint64
@@ -190,6 +192,9 @@
 	heard map[string]span
 }
 
+// settledBeats is the number of announcement intervals in which all upstreams that are up are heard by a new leader.
+const settledBeats = 2
+
 // New returns a planner that has just become the leader at the time now.
 func New(cfg Config, now time.Duration) *Planner {
 	return newPlanner(cfg, timing{margin: proto.WithDrift, waitGrant: true, waitRoutes: true, waitPredecessor: true}, now)
@@ -205,6 +210,11 @@
 	if t.waitPredecessor {
 		p.quietUntil = now + t.margin(max(cfg.GrantTTL, cfg.LeaseTTL))
 	}
+	p.settledAt = p.quietUntil
+	if cfg.SlowAnnouncements {
+		// Grants are long, and those that have not been heard in such a time are probably lost.
+		p.settledAt = min(p.settledAt, now+cfg.AnnounceInterval*settledBeats)
+	}
 	return p
 }
 
