--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -127,9 +127,10 @@
 			is.NoErr(s.Close())
 		}
 	}
+	service := model.Service{Name: "s", Keyed: true, Ranges: 8}
 	item := func(version uint64, dropped bool) state.Command {
 		return state.Command{Items: &model.Change{
-			Services: map[string]model.Item[model.Service]{"s": {Version: 1, Value: model.Service{Name: "s", Keyed: true, Ranges: 8}}},
+			Services: map[string]model.Item[model.Service]{"s": {Version: 1, Value: service}},
 			Routes: map[string]model.Item[model.Route]{"r": {Version: version, Dropped: dropped, Value: model.Route{
 				Name: "r", Host: "a.example", Prefix: "/x/", TimeoutMs: 100, Attempts: 1, Parts: []model.Part{{Service: "s", Weight: 1}},
 			}}},
--- a/internal/owner/moves.go
+++ b/internal/owner/moves.go
@@ -215,11 +215,24 @@
 	}
 	out, chance := map[string]bool{}, m.chance()
 	for name, b := range busy {
-		out[name] = b-chance[name] > (1+orderedSlack)*mean
+		out[name] = b-chance[name] > max((1+orderedSlack)*mean, m.comfort())
 	}
 	return out
 }
 
+// comfort returns the load in slots up to which requests hardly wait at an upstream, so that moving its ranges gains
+// nothing.
+func (m *plan) comfort() float64 {
+	if m.slots == math.MaxInt {
+		return 0
+	}
+	return comfortShare * float64(m.slots)
+}
+
+// comfortShare is the share of busy slots at which a request waits for a fifth of its own time on average, with three
+// slots.
+const comfortShare = 0.55
+
 // chance returns by how many slots the measured load of each upstream may be off by chance.
 func (m *plan) chance() map[string]float64 {
 	out := map[string]float64{}
@@ -618,11 +631,15 @@
 	}
 	chance := m.chance()
 	perSlot := m.perSlot()
+	full := mean + tolerance
+	if m.ordered() {
+		full = max(full, int64(idleShare*rangeWeight*model.OrderedRanges/float64(len(m.loads))+m.comfort()*perSlot))
+	}
 	// A single hot key may be more than its owner can take, and no move helps: others must not wait for that one.
 	stuck := map[string]bool{}
 	for len(taken) < budget && len(stuck) < len(m.loads) {
 		from, to := m.heaviest(stuck), m.lightest()
-		heavy := m.loads[from] > mean+tolerance+int64(chance[from]*perSlot)
+		heavy := m.loads[from] > full+int64(chance[from]*perSlot)
 		light := m.loads[to] < mean/lightDivisor
 		k := m.bestMove(byOwner[from], m.loads[from]-m.loads[to]-tolerance)
 		if m.ordered() && !heavy && !light || m.loads[from] <= m.loads[to]+tolerance {
@@ -661,7 +678,7 @@
 
 // lightDivisor is the part of the mean load below which an upstream of an ordered service takes ranges from others that
 // aren't overloaded, as a newcomer does.
-const lightDivisor = 2
+const lightDivisor = 4
 
 // soonestRoom allows an upstream that is up to a third of the difference heavier than the lightest one.
 const soonestRoom = 3
--- a/internal/route/pack_test.go
+++ b/internal/route/pack_test.go
@@ -47,7 +47,8 @@
 	for _, service := range []string{"a", "b", "c"} {
 		for i := range uint64(256) {
 			a := model.Assignment{
-				ID: r.Uint64N(100000), Service: service, First: i << 56, Last: (i+1)<<56 - 1, Phase: model.PhaseFree, Changed: r.Uint64N(51),
+				ID: r.Uint64N(100000), Service: service, First: i << 56, Last: (i+1)<<56 - 1, Phase: model.PhaseFree,
+				Changed: r.Uint64N(51),
 			}
 			if o := r.IntN(22); o < 20 {
 				a.Owner, a.Epoch, a.Phase = fmt.Sprintf("u%d", o), r.Uint64N(999), model.PhaseHeld
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -49,12 +49,14 @@
 func TestLoadReportsComeBackWhole(t *testing.T) {
 	is := is.New(t)
 	sent := route.Load{PerSecond: 12.5, Ranges: []route.RangeLoad{
-		{Range: 7, Busy: 1.25}, {Range: 1 << 40, Busy: 0.003, Parts: []float64{0, 0.002, 0.001}},
+		{Range: 7, Busy: 1.25}, {Range: 1 << 40, Busy: 0.003, Parts: make([]float64, route.LoadParts)},
 	}}
+	sent.Ranges[1].Parts[1], sent.Ranges[1].Parts[15] = 0.002, 0.001
 	b, err := json.Marshal(sent)
 	is.NoErr(err)
 	var got route.Load
 	is.NoErr(json.Unmarshal(b, &got))
 	is.Equal(got, sent)
 	is.True(json.Unmarshal([]byte(`{"ranges":[[7]]}`), &got) != nil)
+	is.True(json.Unmarshal([]byte(`{"ranges":[[7,1,16,1]]}`), &got) != nil)
 }
--- a/internal/route/sketch.go
+++ b/internal/route/sketch.go
@@ -112,13 +112,14 @@
 	Parts []float64
 }
 
-// MarshalJSON writes the range, its load and the loads of its parts as one list, loads in thousandths of a slot: reports of
-// a hundred hosts make up a good part of the bytes between data centres.
+// MarshalJSON writes the range, its load and position and load of each part that has one as one list, loads in thousandths
+// of a slot: reports of a hundred hosts make up a good part of the bytes between data centres.
 func (r RangeLoad) MarshalJSON() ([]byte, error) {
-	out := make([]uint64, 0, 2+len(r.Parts))
-	out = append(out, r.Range, thousandths(r.Busy))
-	for _, b := range r.Parts {
-		out = append(out, thousandths(b))
+	out := []uint64{r.Range, thousandths(r.Busy)}
+	for i, b := range r.Parts {
+		if x := thousandths(b); x > 0 {
+			out = append(out, uint64(i), x)
+		}
 	}
 	return json.Marshal(out)
 }
@@ -129,12 +130,18 @@
 	if err := json.Unmarshal(b, &in); err != nil {
 		return err
 	}
-	if len(in) < 2 {
+	if len(in) < 2 || len(in)%2 > 0 {
 		return errors.Errorf("load of a range has %d numbers", len(in))
 	}
 	*r = RangeLoad{Range: in[0], Busy: float64(in[1]) / 1000}
-	for _, x := range in[2:] {
-		r.Parts = append(r.Parts, float64(x)/1000)
+	for k := 2; k < len(in); k += 2 {
+		if in[k] >= LoadParts {
+			return errors.Errorf("load of a range has a part %d", in[k])
+		}
+		if r.Parts == nil {
+			r.Parts = make([]float64, LoadParts)
+		}
+		r.Parts[in[k]] = float64(in[k+1]) / 1000
 	}
 	return nil
 }
