--- a/internal/daemon/first.go
+++ b/internal/daemon/first.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -62,7 +63,10 @@
 		case <-time.After(pause):
 		}
 		pause = firstTablePause
-		for _, a := range f.directory.candidates() {
+		as := f.directory.candidates()
+		// In any order, so that a hundred hosts that start at once don't all ask the same replica.
+		rand.Shuffle(len(as), func(i, k int) { as[i], as[k] = as[k], as[i] })
+		for _, a := range as {
 			if t, _ := f.view.Table(); t.Version > 0 {
 				return
 			}
