--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -22,27 +22,42 @@
 	"baobabreach/pkg/proto"
 )
 
+// startNode runs a replica with the disk in dir and the given other voters until the returned function is called.
+func startNode(tb testing.TB, dir string, others ...raft.Member) (*node.Node, func()) {
+	tb.Helper()
+	is := is.New(tb)
+	s, l, err := store.Open(dir)
+	is.NoErr(err)
+	begin := time.Now()
+	self := raft.Member{ID: l.Identity.ID, Host: "a"}
+	n, err := node.New(node.Config{
+		Self: self, Store: s, Loaded: l, Members: raft.Members{Voters: append([]raft.Member{self}, others...)},
+		Random: rand.Int64N, Clock: func() time.Duration { return time.Since(begin) }, WallMs: func() int64 { return 0 },
+		Log: slog.New(slog.DiscardHandler), Send: func(raft.Member, []raft.Message) {},
+	})
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = n.Run(ctx)
+	}()
+	return n, func() {
+		cancel()
+		<-done
+		is.NoErr(s.Close())
+	}
+}
+
 // BenchmarkPropose measures synced commits of a group of one replica, with 1 and 64 concurrent proposals.
 func BenchmarkPropose(b *testing.B) {
 	for _, clients := range []int{1, 64} {
 		b.Run(fmt.Sprint(clients), func(b *testing.B) {
-			is := is.New(b)
-			s, l, err := store.Open(b.TempDir())
-			is.NoErr(err)
-			begin := time.Now()
-			self := raft.Member{ID: l.Identity.ID, Host: "a"}
-			n, err := node.New(node.Config{
-				Self: self, Store: s, Loaded: l, Members: raft.Members{Voters: []raft.Member{self}}, Random: rand.Int64N,
-				Clock: func() time.Duration { return time.Since(begin) }, WallMs: func() int64 { return 0 },
-				Log:  slog.New(slog.DiscardHandler),
-				Send: func(raft.Member, []raft.Message) {},
-			})
-			is.NoErr(err)
-			ctx, cancel := context.WithCancel(context.Background())
-			defer cancel()
-			go func() { _ = n.Run(ctx) }()
+			n, stop := startNode(b, b.TempDir())
+			defer stop()
+			ctx := context.Background()
 			cs := []state.Command{{Abandon: &state.Abandon{ID: "x", Holder: "y"}}}
-			for _, err = n.Propose(ctx, cs); err != nil; _, err = n.Propose(ctx, cs) {
+			for _, err := n.Propose(ctx, cs); err != nil; _, err = n.Propose(ctx, cs) {
 				time.Sleep(time.Millisecond)
 			}
 			b.ResetTimer()
@@ -66,33 +81,19 @@
 // handed out although a leader has a newer one.
 func TestCallsWaitForALeader(t *testing.T) {
 	is := is.New(t)
-	start := func(members raft.Members, self raft.Member) *node.Node {
-		s, l, err := store.Open(t.TempDir())
-		is.NoErr(err)
-		begin := time.Now()
-		n, err := node.New(node.Config{
-			Self: self, Store: s, Loaded: l, Members: members, Random: rand.Int64N,
-			Clock: func() time.Duration { return time.Since(begin) }, WallMs: func() int64 { return 0 },
-			Log: slog.New(slog.DiscardHandler), Send: func(raft.Member, []raft.Message) {},
-		})
-		is.NoErr(err)
-		ctx, cancel := context.WithCancel(context.Background())
-		t.Cleanup(cancel)
-		go func() { _ = n.Run(ctx) }()
-		return n
-	}
-	a := raft.Member{ID: "a", Host: "a"}
 	waits := func(n *node.Node, d time.Duration) bool {
 		ctx, cancel := context.WithTimeout(context.Background(), d)
 		defer cancel()
 		n.AwaitLeader(ctx)
 		return ctx.Err() != nil
 	}
-	alone := start(raft.Members{Voters: []raft.Member{a, {ID: "b"}, {ID: "c"}}}, a)
+	alone, stop := startNode(t, t.TempDir(), raft.Member{ID: "b"}, raft.Member{ID: "c"})
+	defer stop()
 	is.True(waits(alone, time.Second))
 	_, err := alone.UnledTable()
 	is.True(err != nil) // it holds no configuration
-	leads := start(raft.Members{Voters: []raft.Member{a}}, a)
+	leads, end := startNode(t, t.TempDir())
+	defer end()
 	is.True(!waits(leads, 5*time.Second))
 	_, err = leads.UnledTable()
 	is.True(strings.Contains(err.Error(), string(proto.CodeNotLeader)))
@@ -104,28 +105,9 @@
 	is := is.New(t)
 	dir := t.TempDir()
 	start := func() (*node.Node, func()) {
-		s, l, err := store.Open(dir)
-		is.NoErr(err)
-		begin := time.Now()
-		self := raft.Member{ID: l.Identity.ID, Host: "a"}
-		n, err := node.New(node.Config{
-			Self: self, Store: s, Loaded: l, Members: raft.Members{Voters: []raft.Member{self}}, Random: rand.Int64N,
-			Clock: func() time.Duration { return time.Since(begin) }, WallMs: func() int64 { return 0 },
-			Log: slog.New(slog.DiscardHandler), Send: func(raft.Member, []raft.Message) {},
-		})
-		is.NoErr(err)
-		ctx, cancel := context.WithCancel(context.Background())
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			_ = n.Run(ctx)
-		}()
-		n.AwaitLeader(ctx)
-		return n, func() {
-			cancel()
-			<-done
-			is.NoErr(s.Close())
-		}
+		n, stop := startNode(t, dir)
+		n.AwaitLeader(context.Background())
+		return n, stop
 	}
 	service := model.Service{Name: "s", Keyed: true, Ranges: 8}
 	item := func(version uint64, dropped bool) state.Command {
