--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -267,11 +267,12 @@
 	})
 }
 
-func startSlots(lc fx.Lifecycle, s *slots.Slots) {
+// inBackground calls run once the daemon starts, with a context that ends when it stops.
+func inBackground(lc fx.Lifecycle, run func(context.Context)) {
 	ctx, cancel := context.WithCancel(context.Background())
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			go s.Run(ctx)
+			go run(ctx)
 			return nil
 		},
 		OnStop: func(context.Context) error {
@@ -281,21 +282,13 @@
 	})
 }
 
+func startSlots(lc fx.Lifecycle, s *slots.Slots) { inBackground(lc, s.Run) }
+
 func startRenewer(lc fx.Lifecycle, r *renewer) {
-	ctx, cancel := context.WithCancel(context.Background())
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			go r.run(ctx)
-			if r.wait == 0 {
-				go r.watch(ctx)
-			}
-			return nil
-		},
-		OnStop: func(context.Context) error {
-			cancel()
-			return nil
-		},
-	})
+	inBackground(lc, r.run)
+	if r.wait == 0 {
+		inBackground(lc, r.watch)
+	}
 }
 
 func startReplica(
--- a/internal/daemon/directory.go
+++ b/internal/daemon/directory.go
@@ -137,18 +137,8 @@
 }
 
 func startDirectory(lc fx.Lifecycle, d *directory) {
-	ctx, cancel := context.WithCancel(context.Background())
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			go func() {
-				d.refresh(ctx)
-				clock.Every(ctx, directoryPause, d.refresh)
-			}()
-			return nil
-		},
-		OnStop: func(context.Context) error {
-			cancel()
-			return nil
-		},
+	inBackground(lc, func(ctx context.Context) {
+		d.refresh(ctx)
+		clock.Every(ctx, directoryPause, d.refresh)
 	})
 }
--- a/internal/daemon/first.go
+++ b/internal/daemon/first.go
@@ -102,15 +102,5 @@
 		return
 	}
 	f := firstTable{view: v, directory: d, client: c.control, token: t.control, clock: now, log: logs.Part(log, "lease")}
-	ctx, cancel := context.WithCancel(context.Background())
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			go f.run(ctx)
-			return nil
-		},
-		OnStop: func(context.Context) error {
-			cancel()
-			return nil
-		},
-	})
+	inBackground(lc, f.run)
 }
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -335,19 +335,11 @@
 		return
 	}
 	startRenewer(lc, r)
-	ctx, cancel := context.WithCancel(context.Background())
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			go clock.Every(ctx, sweepInterval, func(context.Context) {
-				pool.SetMaxIdle(g.IdlePerUpstream(maxIdlePerUpstream))
-				pool.Sweep()
-				g.Sweep()
-			})
-			return nil
-		},
-		OnStop: func(context.Context) error {
-			cancel()
-			return nil
-		},
+	inBackground(lc, func(ctx context.Context) {
+		clock.Every(ctx, sweepInterval, func(context.Context) {
+			pool.SetMaxIdle(g.IdlePerUpstream(maxIdlePerUpstream))
+			pool.Sweep()
+			g.Sweep()
+		})
 	})
 }
--- a/internal/daemon/gauges.go
+++ b/internal/daemon/gauges.go
@@ -32,17 +32,7 @@
 
 // startGauges keeps the gauges of a daemon on a platform fresh.
 func startGauges(lc fx.Lifecycle, p gaugeParams) {
-	ctx, cancel := context.WithCancel(context.Background())
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			go clock.Every(ctx, gaugeInterval, p.update)
-			return nil
-		},
-		OnStop: func(context.Context) error {
-			cancel()
-			return nil
-		},
-	})
+	inBackground(lc, func(ctx context.Context) { clock.Every(ctx, gaugeInterval, p.update) })
 }
 
 func (p gaugeParams) update(context.Context) {
