Sum the weights of a service's ranges once per plan

The balance and the choice for open ranges each summed all weights; newPlan does it where it sets them. No change of behaviour: the schedules and balance tests of owner pass as before.

--- a/internal/owner/assign.go
+++ b/internal/owner/assign.go
@@ -87,11 +87,7 @@
 		return m.lightest()
 	}
 	if m.byWait == nil {
-		total := int64(0)
-		for _, x := range m.weights {
-			total += x
-		}
-		m.room = total / int64(len(m.loads)) * (100 + openRoomPercent) / 100
+		m.room = m.mean * (100 + openRoomPercent) / 100
 		m.byWait = slices.Clone(m.targets)
 		slices.SortStableFunc(m.byWait, func(a, b string) int { return cmp.Compare(m.wait(m.now, a), m.wait(m.now, b)) })
 	}
--- a/internal/owner/balance.go
+++ b/internal/owner/balance.go
@@ -96,27 +96,24 @@
 // balance takes ranges from the heaviest upstream while that lowers the larger of the two loads.
 func (m *plan) balance(budget int, taken map[uint64]bool, release func(model.Assignment)) {
 	byOwner := map[string][]int{}
-	total := int64(0)
 	for i := range m.ranges {
 		a := &m.ranges[i]
 		if _, ok := m.loads[a.Owner]; ok && a.Phase == model.PhaseHeld && !taken[a.ID] {
 			byOwner[a.Owner] = append(byOwner[a.Owner], i)
 		}
-		total += m.weights[i]
 	}
 	tolerance := int64(0)
 	slack := slack
 	if m.ordered() {
 		slack = orderedSlack
 	}
-	mean := total / int64(len(m.loads))
 	if m.busy > 0 {
 		weighty := min(1, m.busy/m.littleBusy())
-		tolerance = int64(weighty * slack * float64(mean))
+		tolerance = int64(weighty * slack * float64(m.mean))
 	}
 	chance := m.chance()
 	perSlot := m.perSlot()
-	full := mean + tolerance
+	full := m.mean + tolerance
 	if m.ordered() {
 		full = max(full, int64(idleShare*rangeWeight*model.OrderedRanges/float64(len(m.loads))+m.comfort()*perSlot))
 	}
@@ -125,7 +122,7 @@
 	for len(taken) < budget && len(stuck) < len(m.loads) {
 		from, to := m.heaviest(stuck), m.lightest()
 		heavy := m.loads[from] > full+int64(chance[from]*perSlot)
-		light := m.loads[to] < mean/lightDivisor
+		light := m.loads[to] < m.mean/lightDivisor
 		k := m.bestMove(byOwner[from], m.loads[from]-m.loads[to]-tolerance)
 		if m.ordered() && !heavy && !light || m.loads[from] <= m.loads[to]+tolerance {
 			return
--- a/internal/owner/moves.go
+++ b/internal/owner/moves.go
@@ -33,6 +33,8 @@
 	// loadOf holds the measured loads of ranges in slots, weights their weights in the balance; both in the order of ranges.
 	loadOf  []float64
 	weights []int64
+	// mean is the weight of all ranges for each upstream that may own ranges.
+	mean int64
 	// busy is the measured load of all ranges of the service together, 0 if none was measured.
 	busy float64
 	// loads sums the weights per upstream that may own ranges, with ranges on their way to it.
@@ -170,18 +172,20 @@
 func (m *plan) weigh() {
 	m.weights = make([]int64, len(m.ranges))
 	ordered, perSlot := m.ordered(), m.perSlot()
+	total := int64(0)
 	for i := range m.ranges {
 		base := int64(rangeWeight)
 		if ordered {
 			width := float64(m.ranges[i].Last-m.ranges[i].First) / math.MaxUint64
 			base = int64(idleShare * rangeWeight * model.OrderedRanges * width)
 		}
-		if m.busy == 0 {
-			m.weights[i] = max(1, base)
-			continue
+		m.weights[i] = max(1, base)
+		if m.busy > 0 {
+			m.weights[i] = base + int64(m.loadOf[i]*perSlot)
 		}
-		m.weights[i] = base + int64(m.loadOf[i]*perSlot)
+		total += m.weights[i]
 	}
+	m.mean = total / int64(max(1, len(m.loads)))
 }
 
 // perSlot returns the weight of one occupied slot. A load that is small for the service says little of what is to come.
