Limit what upstreams and peers may send in bytes and time

The head is now limited by a setting, and the connection is closed before the body. All listeners limit the time for a body and for reading the response. Oversized responses are counted.

A split by weights keeps its proportions for tiny and huge weights, never chooses a service with weight 0 by rounding, and refuses requests if all weights are 0.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -38,11 +38,14 @@
 	// LogLevel is debug, info, warn or error. LogFormat is text or json.
 	LogLevel  string
 	LogFormat string
-	// MaxHeaderBytes, MaxBodyBytes and MaxResponseBytes are positive.
-	MaxHeaderBytes   int64
-	MaxBodyBytes     int64
-	MaxResponseBytes int64
-	Policy           Policy
+	// The limits on the size of requests and of responses of upstreams are positive.
+	MaxHeaderBytes         int64
+	MaxBodyBytes           int64
+	MaxResponseBytes       int64
+	MaxResponseHeaderBytes int64
+	// BodyTimeout is the longest time in which a caller, upstream, operator or other daemon may send a body; positive.
+	BodyTimeout time.Duration
+	Policy      Policy
 	// MaxMoves is the maximum number of ranges that move between upstreams at the same time; at least 1.
 	MaxMoves int
 	// BalancerDelay is the time during a shutdown in which readiness is off but requests are still accepted, so that load
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -164,20 +164,20 @@
 	dialTimeout           = 500 * time.Millisecond
 )
 
-func newClients(dial DialFunc, m *metric.Registry) clients {
+func newClients(cfg config.Config, dial DialFunc, m *metric.Registry) clients {
 	return clients{
 		control: &http.Client{Transport: &http.Transport{
 			DialContext: newCountedDial(dial, m), MaxIdleConnsPerHost: maxIdlePerHost, IdleConnTimeout: idleConnectionTimeout,
-			DisableCompression: true,
+			DisableCompression: true, MaxResponseHeaderBytes: cfg.MaxResponseHeaderBytes,
 		}},
 		dispatch: &http.Client{Transport: &http.Transport{
 			DialContext: dial, MaxIdleConnsPerHost: maxDispatchConns, IdleConnTimeout: idleConnectionTimeout,
-			DisableCompression: true,
+			DisableCompression: true, MaxResponseHeaderBytes: cfg.MaxResponseHeaderBytes,
 		}},
 		upstream: &http.Client{
 			Transport: &http.Transport{
 				DialContext: dial, MaxIdleConnsPerHost: maxUpstreamConns, MaxConnsPerHost: maxUpstreamConns,
-				IdleConnTimeout: idleConnectionTimeout, DisableCompression: true,
+				IdleConnTimeout: idleConnectionTimeout, DisableCompression: true, MaxResponseHeaderBytes: cfg.MaxResponseHeaderBytes,
 			},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
--- a/internal/daemon/export_test.go
+++ b/internal/daemon/export_test.go
@@ -14,11 +14,14 @@
 // ReadToken exposes readToken to external tests.
 var ReadToken = readToken
 
+// NewServer exposes newServer to external tests.
+var NewServer = newServer
+
 // Routers returns the caller and operator routers of a daemon without a replica.
 func Routers(token string) (callers, operators http.Handler) {
 	p := listenerParams{
 		Config: config.Config{Host: "a1"}, Shutdown: newShutdownState(), Replica: newLocalReplica(), View: route.NewView(),
-		Tokens: tokens{operator: token}, Clients: newClients(NetDial, metric.New()),
+		Tokens: tokens{operator: token}, Clients: newClients(config.Config{}, NetDial, metric.New()),
 		Leader: peer.NewLeaderClient(http.DefaultClient, "", []string{"127.0.0.1:1"}),
 	}
 	return callerRouter(p), operatorRouter(p)
@@ -26,7 +29,7 @@
 
 // ProposeTo proposes an operator's command to the replica at the address.
 func ProposeTo(ctx context.Context, address string, c state.Command) error {
-	client := newClients(NetDial, metric.New()).control
+	client := newClients(config.Config{}, NetDial, metric.New()).control
 	o := operatorAPI{leader: peer.NewLeaderClient(client, "", []string{address}), client: client}
 	_, err := o.propose(ctx, c)
 	return err
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -182,7 +182,8 @@
 
 func newPipePool(cfg config.Config, dial DialFunc, now Clock, adapter Adapter) *pipe.Pool {
 	return pipe.New(pipe.Config{
-		Names: adapter.Names, Dial: dial, Now: now, MaxResponseBytes: gatewayMaxResponseBytes, MaxIdle: maxIdlePerUpstream,
+		Names: adapter.Names, Dial: dial, Now: now, MaxHeadBytes: cfg.MaxResponseHeaderBytes, MaxResponseBytes: gatewayMaxResponseBytes,
+		MaxIdle: maxIdlePerUpstream,
 	})
 }
 
@@ -270,10 +271,8 @@
 	c := p.control()
 	var listeners []listener
 	addServer := func(name, address string, h http.Handler) *http.Server {
-		s := &http.Server{
-			Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: gatewayIdleTimeout,
-			MaxHeaderBytes: int(p.Config.MaxHeaderBytes),
-		}
+		s := newServer(h, int(p.Config.MaxHeaderBytes), p.Config.BodyTimeout)
+		s.IdleTimeout = gatewayIdleTimeout
 		if address != "" {
 			listeners = append(listeners, listener{name: name, address: address, server: s})
 		}
--- a/internal/daemon/gauges.go
+++ b/internal/daemon/gauges.go
@@ -46,6 +46,7 @@
 		p.Metrics.SetGauge("upstream.reuses", s.Reuses)
 		p.Metrics.SetGauge("upstream.stale_connections", s.StaleIdle)
 		p.Metrics.SetGauge("upstream.crossed_answers", s.MismatchedResponses)
+		p.Metrics.SetGauge("upstream.oversized_answers", s.OversizedResponses)
 		g := p.Gate.Stats()
 		p.Metrics.SetGauge("upstream.ejected", g.Ejected)
 		p.Metrics.SetGauge("upstream.ejections", g.Ejections)
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -25,9 +25,6 @@
 	"go.uber.org/fx"
 )
 
-// readHeaderTimeout closes connections that send their headers too slowly.
-const readHeaderTimeout = 5 * time.Second
-
 // shutdownState records that the daemon is stopping, which makes the readiness check fail.
 type shutdownState struct {
 	stopping atomic.Bool
@@ -61,11 +58,14 @@
 
 func newServers(p listenerParams) servers {
 	limit := p.Config.MaxHeaderBytes
+	serve := func(h http.Handler) *http.Server {
+		return newServer(h, int(hardHeaderLimitFactor*limit), p.Config.BodyTimeout)
+	}
 	return servers{
 		// The entry server checks the headers of callers itself.
-		callers:  newServer(callerRouter(p), limit),
-		control:  newServer(limitHeaders(controlRouter(p), limit), limit),
-		operator: newServer(limitHeaders(operatorRouter(p), limit), limit),
+		callers:  serve(callerRouter(p)),
+		control:  serve(limitHeaders(controlRouter(p), limit)),
+		operator: serve(limitHeaders(operatorRouter(p), limit)),
 	}
 }
 
@@ -127,13 +127,6 @@
 	return nil
 }
 
-func newServer(h http.Handler, maxHeaderBytes int64) *http.Server {
-	return &http.Server{
-		Handler: h, ReadHeaderTimeout: readHeaderTimeout,
-		MaxHeaderBytes: int(hardHeaderLimitFactor * maxHeaderBytes),
-	}
-}
-
 // hardHeaderLimitFactor is the limit of net/http as a multiple of the configured one. net/http responds to headers
 // beyond its limit with plain text; between the two limits the daemon responds with a typed error.
 const hardHeaderLimitFactor = 4
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -107,7 +108,10 @@
 	if !ok {
 		return response{Response: pipe.Response{Status: http.StatusNotFound}, code: proto.CodeNotFound}
 	}
-	c.route, c.service = rt, chooseService(rt)
+	c.route = rt
+	if c.service, ok = chooseService(rt, rand.Float64()); !ok {
+		return c.refuse(proto.CodeNoUpstream, "all weights of the route are 0")
+	}
 	c.deadline = min(c.deadline, c.started+time.Duration(rt.TimeoutMs)*time.Millisecond)
 	ctx, cancel := context.WithTimeout(ctx, c.deadline-c.now())
 	defer cancel()
--- /dev/null
+++ b/internal/gate/export_test.go
@@ -0,0 +1,4 @@
+package gate
+
+// ChooseService exposes chooseService to external tests.
+var ChooseService = chooseService
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -4,7 +4,7 @@
 
 import (
 	"log/slog"
-	"math/rand/v2"
+	"math"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -67,20 +67,31 @@
 	return model.Route{}, false
 }
 
-// chooseService picks one of the route's services at random by weight.
-func chooseService(r model.Route) string {
+// chooseService picks one of the route's services by weight. point is a random number in [0, 1). It returns false if all
+// weights are 0. The share of a service without upstreams is not moved to another one.
+func chooseService(r model.Route, point float64) (string, bool) {
+	largest := 0.0
+	for _, s := range r.Services {
+		largest = max(largest, s.Weight)
+	}
 	total := 0.0
 	for _, s := range r.Services {
-		total += s.Weight
+		// Dividing by the largest weight keeps the sum finite.
+		total += s.Weight / max(largest, math.SmallestNonzeroFloat64)
 	}
-	point := rand.Float64() * total
+	chosen := ""
+	point *= total
 	for _, s := range r.Services {
-		if point < s.Weight {
-			return s.Service
+		if s.Weight <= 0 {
+			continue
+		}
+		// Rounding may leave point just above the last weight, which then takes the request.
+		chosen = s.Service
+		if point -= s.Weight / largest; point < 0 {
+			break
 		}
-		point -= s.Weight
 	}
-	return r.Services[len(r.Services)-1].Service
+	return chosen, chosen != ""
 }
 
 // hostCount returns the number of entry hosts that share the limits.
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -129,7 +129,7 @@
 	f.gate = gate.New(gate.Config{
 		Names: names, View: f.view, Clock: f.clock, MaxBodyBytes: 1 << 20, MaxBufferedBytes: 8 << 20,
 		Pool: pipe.New(pipe.Config{
-			Names: names, Dial: (&net.Dialer{Timeout: time.Second}).DialContext, Now: f.clock, MaxResponseBytes: 1 << 20, MaxIdle: 2,
+			Names: names, Dial: (&net.Dialer{Timeout: time.Second}).DialContext, Now: f.clock, MaxHeadBytes: 64 << 10, MaxResponseBytes: 1 << 20, MaxIdle: 2,
 		}),
 		Picker: gate.NewPicker("a", func(int) int { return 0 }),
 		Budget: gate.NewBudget(gate.BudgetConfig{Ratio: 0.2, Slack: 40, Window: 10 * time.Second}),
--- a/internal/pipe/conn.go
+++ b/internal/pipe/conn.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -24,11 +26,40 @@
 // conn is a connection to an upstream; it carries one request at a time.
 type conn struct {
 	net.Conn
-	br           *bufio.Reader
+	br *bufio.Reader
+	// limit bounds what br reads from Conn.
+	limit        *limitedReader
 	idleDeadline time.Duration
 }
 
-func newConn(c net.Conn) *conn { return &conn{Conn: c, br: bufio.NewReaderSize(c, readBufferBytes)} }
+func newConn(c net.Conn) *conn {
+	l := &limitedReader{r: c}
+	return &conn{Conn: c, br: bufio.NewReaderSize(l, readBufferBytes), limit: l}
+}
+
+// errHeadTooLarge means that the upstream sent more bytes than the limit before the end of the response head.
+var errHeadTooLarge = errors.New("response head is too large")
+
+// limitedReader returns errHeadTooLarge once left bytes have been read. It does not limit reads while left is negative.
+type limitedReader struct {
+	r    io.Reader
+	left int64
+}
+
+// Read implements io.Reader.
+func (l *limitedReader) Read(b []byte) (int, error) {
+	if l.left == 0 {
+		return 0, errHeadTooLarge
+	}
+	if l.left > 0 && int64(len(b)) > l.left {
+		b = b[:l.left]
+	}
+	n, err := l.r.Read(b)
+	if l.left > 0 {
+		l.left -= int64(n)
+	}
+	return n, err
+}
 
 func (c *conn) close() { _ = c.Close() }
 
--- a/internal/pipe/pipe.go
+++ b/internal/pipe/pipe.go
@@ -32,7 +32,9 @@
 	Names HeaderNames
 	Dial  func(ctx context.Context, network, address string) (net.Conn, error)
 	Now   func() time.Duration
-	// MaxResponseBytes is the largest accepted response body; it must be positive.
+	// MaxHeadBytes is the largest accepted response head including interim responses, and MaxResponseBytes the largest
+	// accepted response body; both must be positive.
+	MaxHeadBytes     int64
 	MaxResponseBytes int64
 	// MaxIdle is the initial limit on idle connections to one upstream; SetMaxIdle changes it.
 	MaxIdle int
@@ -95,10 +97,10 @@
 // Unwrap returns Err, which may be nil.
 func (f *Failure) Unwrap() error { return f.Err }
 
-// Stats counts dialled connections, reused connections, idle connections that were no longer usable, and responses that
-// belonged to another request.
+// Stats counts dialled connections, reused connections, idle connections that were no longer usable, responses that
+// belonged to another request, and responses whose head or body exceeded its limit.
 type Stats struct {
-	Dials, Reuses, StaleIdle, MismatchedResponses int64
+	Dials, Reuses, StaleIdle, MismatchedResponses, OversizedResponses int64
 }
 
 // Pool holds the connections of one host to all upstreams. It is safe for concurrent use.
--- a/internal/pipe/pipe_test.go
+++ b/internal/pipe/pipe_test.go
@@ -58,7 +58,7 @@
 	start := time.Now()
 	return pipe.New(pipe.Config{
 		Names: names, Dial: (&net.Dialer{}).DialContext, Now: func() time.Duration { return time.Since(start) },
-		MaxResponseBytes: 1 << 20, MaxIdle: 4,
+		MaxHeadBytes: 64 << 10, MaxResponseBytes: 1 << 20, MaxIdle: 4,
 	})
 }
 
@@ -224,3 +224,65 @@
 		t.Fatal("connection was not closed within 5 s after the request was cancelled")
 	}
 }
+
+// Guards against memory that grows without limit while an upstream sends bytes without end in place of a response.
+func TestEndlessResponsesAreCutOff(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Signed: s\r\n"
+	filler := strings.Repeat("x", 32<<10)
+	for name, c := range map[string]struct{ start, repeated string }{
+		"status line":    {"HTTP/1.1 200 ", filler},
+		"header value":   {ok + "X-Long: ", filler},
+		"header lines":   {ok, strings.Repeat("X-Many: y\r\n", 2<<10)},
+		"interim":        {"", strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 1<<10)},
+		"interim header": {"HTTP/1.1 103 Early Hints\r\nX-Long: ", filler},
+		"garbage":        {"", strings.Repeat("\x00\x01", 16<<10)},
+		"unframed body":  {ok + "\r\n", filler},
+		"chunked body":   {ok + "Transfer-Encoding: chunked\r\n\r\n", "8000\r\n" + filler + "\r\n"},
+		"chunk size":     {ok + "Transfer-Encoding: chunked\r\n\r\n", filler},
+		"trailer":        {ok + "Transfer-Encoding: chunked\r\n\r\n0\r\nX-Long: ", filler},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var sent atomic.Int64
+			address, _ := startUpstream(t, func(co net.Conn, _ int, _ *http.Request) {
+				writeString(co, c.start)
+				for {
+					n, err := io.WriteString(co, c.repeated)
+					sent.Add(int64(n))
+					if err != nil {
+						return
+					}
+				}
+			})
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			p := newPool()
+			_, f := p.Send(ctx, newRequest(address, "1"))
+			is.True(f != nil)
+			is.Equal(f.Stage, pipe.StageUnknown)
+			is.NoErr(ctx.Err())
+			// The kernel buffers of both ends hold a few MB.
+			is.True(sent.Load() < 32<<20)
+		})
+	}
+}
+
+// Guards against a request that waits longer than its context for a response of which one byte arrives at a time.
+func TestTricklingResponseEndsWithContext(t *testing.T) {
+	is := is.New(t)
+	address, _ := startUpstream(t, func(c net.Conn, _ int, _ *http.Request) {
+		for {
+			if _, err := io.WriteString(c, "H"); err != nil {
+				return
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	startedAt := time.Now()
+	_, f := newPool().Send(ctx, newRequest(address, "1"))
+	is.True(f != nil)
+	is.Equal(f.Stage, pipe.StageUnknown)
+	is.True(time.Since(startedAt) < 5*time.Second)
+}
--- a/internal/pipe/send.go
+++ b/internal/pipe/send.go
@@ -110,11 +110,21 @@
 }
 
 func (p *Pool) readResponse(c *conn, req Request) (*Response, bool, *Failure) {
-	resp, err := readResponseHead(c, req.Method)
+	resp, err := p.readResponseHead(c, req.Method)
+	if errors.Is(err, errHeadTooLarge) {
+		p.updateStats(func(s *Stats) { s.OversizedResponses++ })
+	}
 	if err != nil {
 		return nil, false, unknownFailure("connection broke after the send", err)
 	}
-	defer func() { _ = resp.Body.Close() }()
+	complete := false
+	defer func() {
+		if !complete {
+			// Closing a body reads the rest of it, which may have no end.
+			c.close()
+		}
+		_ = resp.Body.Close()
+	}()
 	id := resp.Header.Get(p.cfg.Names.RequestID)
 	if id != req.ID && (id != "" || resp.Header.Get(p.cfg.Names.NotRun) == "") {
 		p.updateStats(func(s *Stats) { s.MismatchedResponses++ })
@@ -125,8 +135,10 @@
 	case err != nil:
 		return nil, false, unknownFailure("answer is truncated", err)
 	case int64(len(body)) > p.cfg.MaxResponseBytes:
+		p.updateStats(func(s *Stats) { s.OversizedResponses++ })
 		return nil, false, unknownFailure("answer is too large", nil)
 	}
+	complete = true
 	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 	reusable := framed && !resp.Close && c.br.Buffered() == 0
 	c.idleDeadline = idleTimeout(resp.Header.Get("Keep-Alive"))
@@ -153,8 +165,12 @@
 // maxInterimResponses bounds the 1xx responses before the final one.
 const maxInterimResponses = 4
 
-// readResponseHead reads the head of the final response and skips 1xx responses.
-func readResponseHead(c *conn, method string) (*http.Response, error) {
+// readResponseHead reads the head of the final response and skips 1xx responses. All of them together may have
+// MaxHeadBytes. The time is limited by the context of the request, whose end closes the connection.
+func (p *Pool) readResponseHead(c *conn, method string) (*http.Response, error) {
+	c.limit.left = p.cfg.MaxHeadBytes
+	// The body is limited by its reader.
+	defer func() { c.limit.left = -1 }()
 	for range maxInterimResponses {
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
 		if err != nil {
