Keep as many voters as the tolerated losses need, spread over data centres

The group had three voters whatever the platform said it has to bear. With two tolerated losses (large site) two wiped disks could take a majority and with it committed entries; and nothing kept voters out of one data centre. The number is now 2n+1 from the settings; learners of the emptiest data centre are promoted first, and a voter of the fullest is removed.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -83,8 +83,13 @@
 	RetryWindow time.Duration
 	// MemoryMB is the memory limit of the process in MiB.
 	MemoryMB int64
+	// ToleratedLosses is the number of replicas that may be lost together, with their disks.
+	ToleratedLosses int
 }
 
+// Voters returns the number of voting replicas, of which a majority is left after ToleratedLosses.
+func (g *Gateway) Voters() int { return 2*g.ToleratedLosses + 1 }
+
 // IsReplica reports whether the daemon stores a replica of the log.
 func (c Config) IsReplica() bool { return c.DataDir != "" }
 
--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -39,12 +39,13 @@
 
 func (r *reader) gateway(c Config) *Gateway {
 	g := &Gateway{
-		FirstStart:  r.boolean(gatewaySection, "first_start"),
-		Heartbeat:   r.duration(gatewaySection, "heartbeat", time.Second),
-		RetryRatio:  r.nonNegativeFloat("retry_ratio", 0.1),
-		RetrySlack:  r.nonNegativeFloat("retry_slack", 16),
-		RetryWindow: r.duration(gatewaySection, "retry_window", 10*time.Second),
-		MemoryMB:    r.integer(gatewaySection, "memory_mb", 256, 16, 1<<20),
+		FirstStart:      r.boolean(gatewaySection, "first_start"),
+		Heartbeat:       r.duration(gatewaySection, "heartbeat", time.Second),
+		RetryRatio:      r.nonNegativeFloat("retry_ratio", 0.1),
+		RetrySlack:      r.nonNegativeFloat("retry_slack", 16),
+		RetryWindow:     r.duration(gatewaySection, "retry_window", 10*time.Second),
+		MemoryMB:        r.integer(gatewaySection, "memory_mb", 256, 16, 1<<20),
+		ToleratedLosses: int(r.integer(gatewaySection, "tolerated_losses", 1, 0, 16)),
 	}
 	if c.Caller != "" {
 		g.Ready = r.address(gatewaySection, "ready")
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -312,7 +312,8 @@
 	raftAddress := func(control string) string { return control }
 	if g := cfg.Gateway; g != nil {
 		// A hosting platform replaces hosts under arbitrary names, so a replica is identified by its advertised address.
-		self.Host, self.Address, voters, firstStart = cfg.Advertise, cfg.Advertise, gatewayVoters, g.FirstStart
+		self.Host, self.Address, voters, firstStart = cfg.Advertise, cfg.Advertise, g.Voters(), g.FirstStart
+		self.DataCentre = cfg.DataCentre
 		cfg.Replicas = seedReplicas(cfg)
 		raftAddress = nextPort
 		planner, timing, publishInterval = gatewayPlannerConfig(cfg), gatewayTiming, gatewayPublishInterval
--- a/internal/daemon/directory.go
+++ b/internal/daemon/directory.go
@@ -123,7 +123,7 @@
 	if time.Since(d.lastLeaderAt) < rejoinAfter {
 		return
 	}
-	self := raft.Member{ID: id, Host: d.cfg.Advertise, Address: d.cfg.Advertise}
+	self := raft.Member{ID: id, Host: d.cfg.Advertise, Address: d.cfg.Advertise, DataCentre: d.cfg.DataCentre}
 	for _, a := range d.candidates() {
 		if a == d.cfg.Advertise {
 			continue
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -31,8 +31,6 @@
 )
 
 const (
-	// gatewayVoters is the number of voting replicas; the group tolerates the loss of one.
-	gatewayVoters = 3
 	// gatewayMaxMoves limits how many ranges are moved away from live owners at once. Each of them has no owner for about
 	// one heartbeat.
 	gatewayMaxMoves = 6
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -82,7 +82,7 @@
 	case n.cfg.Voters > 0:
 		n.liveness.update(now, n.raft)
 		next, ok = n.raft.Members().NextReplacement(raft.Replacement{
-			TargetVoters: n.cfg.Voters, HasSynced: n.canPromote,
+			TargetVoters: n.cfg.Voters, Leader: n.cfg.Self.ID, HasSynced: n.canPromote,
 			IsLive: func(id string) bool { return n.raft.IsLive(now, id) },
 			IsLost: func(id string) bool { return n.liveness.downFor(now, id, VoterLostTimeout) },
 			IsGone: func(id string) bool { return n.liveness.downFor(now, id, LearnerGoneTimeout) },
--- a/internal/raft/replace.go
+++ b/internal/raft/replace.go
@@ -6,6 +6,8 @@
 type Replacement struct {
 	// TargetVoters is the target number of voters.
 	TargetVoters int
+	// Leader is the ID of the leader, which is never removed to spread the voters.
+	Leader string
 	// HasSynced reports whether a learner has every committed entry.
 	HasSynced func(id string) bool
 	// IsLive reports whether a member currently responds.
@@ -17,22 +19,20 @@
 }
 
 // NextReplacement returns the list after the next single membership change that restores the group, or false if none is
-// needed. A learner is promoted before the lost voter is removed, so that no step reduces the number of log copies.
+// needed. A learner is promoted before the lost voter is removed, so that no step reduces the number of log copies. Voters
+// are spread evenly over the data centres, so that the loss of one leaves a majority.
 func (m Members) NextReplacement(r Replacement) (Members, bool) {
 	if i := m.replacedVoter(); i >= 0 {
 		return m.withoutVoter(i), true
 	}
 	lost := slices.IndexFunc(m.Voters, func(v Member) bool { return r.IsLost(v.ID) })
-	if lost >= 0 && len(m.Voters) > r.TargetVoters && m.hasLiveMajorityWithout(lost, r.IsLive) {
-		return m.withoutVoter(lost), true
+	if surplus := m.surplusVoter(r, lost); surplus >= 0 && m.hasLiveMajorityWithout(surplus, r.IsLive) {
+		return m.withoutVoter(surplus), true
 	}
-	for i, l := range m.Learners {
-		needed := len(m.Voters) < r.TargetVoters || lost >= 0 && len(m.Voters) == r.TargetVoters || m.hasVoterOn(l.Host)
-		if needed && r.HasSynced(l.ID) && r.IsLive(l.ID) {
-			return Members{
-				Voters: append(slices.Clone(m.Voters), l), Learners: slices.Delete(slices.Clone(m.Learners), i, i+1),
-			}, true
-		}
+	if i := m.learnerToPromote(r, lost); i >= 0 {
+		return Members{
+			Voters: append(slices.Clone(m.Voters), m.Learners[i]), Learners: slices.Delete(slices.Clone(m.Learners), i, i+1),
+		}, true
 	}
 	for i, l := range m.Learners {
 		if r.IsGone(l.ID) {
@@ -42,6 +42,59 @@
 	return m, false
 }
 
+// surplusVoter returns the index of the voter to remove if there are more than the target: the lost one, or else one of
+// the data centre with the most voters. It returns -1 if there is none.
+func (m Members) surplusVoter(r Replacement, lost int) int {
+	if len(m.Voters) <= r.TargetVoters || lost >= 0 {
+		if len(m.Voters) > r.TargetVoters {
+			return lost
+		}
+		return -1
+	}
+	crowded := -1
+	for i, v := range m.Voters {
+		if v.ID != r.Leader && (crowded < 0 || m.votersIn(v.DataCentre) > m.votersIn(m.Voters[crowded].DataCentre)) {
+			crowded = i
+		}
+	}
+	return crowded
+}
+
+// learnerToPromote returns the index of the learner that the group needs as a voter, in the data centre with the fewest
+// voters, or -1 if it needs none.
+func (m Members) learnerToPromote(r Replacement, lost int) int {
+	best := -1
+	for i, l := range m.Learners {
+		needed := len(m.Voters) < r.TargetVoters || lost >= 0 && len(m.Voters) == r.TargetVoters || m.hasVoterOn(l.Host) ||
+			m.improvesSpread(r, l)
+		if !needed || !r.HasSynced(l.ID) || !r.IsLive(l.ID) {
+			continue
+		}
+		if best < 0 || m.votersIn(l.DataCentre) < m.votersIn(m.Learners[best].DataCentre) {
+			best = i
+		}
+	}
+	return best
+}
+
+// improvesSpread reports whether replacing a voter of another data centre by the learner would make the voters more evenly
+// spread.
+func (m Members) improvesSpread(r Replacement, l Member) bool {
+	return len(m.Voters) == r.TargetVoters && l.DataCentre != "" && slices.ContainsFunc(m.Voters, func(v Member) bool {
+		return v.ID != r.Leader && m.votersIn(v.DataCentre) > m.votersIn(l.DataCentre)+1
+	})
+}
+
+func (m Members) votersIn(dataCentre string) int {
+	n := 0
+	for _, v := range m.Voters {
+		if v.DataCentre == dataCentre {
+			n++
+		}
+	}
+	return n
+}
+
 // replacedVoter returns the index of a voter whose host has a later voter with another disk, or -1 if there is none.
 func (m Members) replacedVoter() int {
 	for i, v := range m.Voters {
--- a/internal/raft/replace_test.go
+++ b/internal/raft/replace_test.go
@@ -75,3 +75,38 @@
 	is.True(ok)
 	is.Equal(memberIDs(ms.Voters), []string{"a", "b", "c2"})
 }
+
+// Guards against voters that are concentrated in one data centre, whose loss would stop the group, and against a group of
+// five that stays at three voters and loses committed entries with two disks.
+func TestVotersAreSpreadOverDataCentres(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// A member is written as its data centre and a number. The leader is a1.
+		voters, learners, want string
+		wantChange             bool
+	}{
+		{"grows towards the target", "a1 b1 c1", "a2 d1", "a1 b1 c1 d1", true},
+		{"prefers the emptiest data centre", "a1 a2 b1 c1", "a3 b2 e1", "a1 a2 b1 c1 e1", true},
+		{"promotes before it removes", "a1 a2 b1 c1 d1", "e1", "a1 a2 b1 c1 d1 e1", true},
+		{"removes from the fullest, never the leader", "a1 a2 b1 c1 d1 e1", "", "a1 b1 c1 d1 e1", true},
+		{"is even", "a1 b1 c1 d1 e1", "a2 b2 e2", "a1 b1 c1 d1 e1", false},
+		{"is as even as two data centres allow", "a1 a2 a3 b1 b2", "a4 b3", "a1 a2 a3 b1 b2", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			members := func(names string) []raft.Member {
+				var out []raft.Member
+				for _, name := range strings.Fields(names) {
+					out = append(out, raft.Member{ID: name, Host: name, Address: name, DataCentre: name[:1]})
+				}
+				return out
+			}
+			always := func(string) bool { return true }
+			never := func(string) bool { return false }
+			next, change := raft.Members{Voters: members(c.voters), Learners: members(c.learners)}.NextReplacement(
+				raft.Replacement{TargetVoters: 5, Leader: "a1", HasSynced: always, IsLive: always, IsLost: never, IsGone: never})
+			is.Equal(change, c.wantChange)
+			is.Equal(strings.Join(memberIDs(next.Voters), " "), c.want)
+		})
+	}
+}
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -33,6 +33,8 @@
 	ID      string `json:"id"`
 	Host    string `json:"host"`
 	Address string `json:"address"`
+	// DataCentre is empty in groups whose voters are not spread over data centres.
+	DataCentre string `json:"data_centre,omitempty"`
 }
 
 // Members is the configuration of the group.
