--- a/internal/assign/assign.go
+++ b/internal/assign/assign.go
@@ -41,6 +41,8 @@
 	maxEjection       = 4 * time.Second
 	// maxEjectedDivisor limits the ejected upstreams of a service to a third of those assigned here.
 	maxEjectedDivisor = 3
+	// fullRatio is the number of requests in flight per slot from which a refusal is put down to a full queue.
+	fullRatio = 3
 	// refusalPause is how long an upstream gets no requests after it refused one for lack of capacity.
 	refusalPause = 60 * time.Millisecond
 	// An upstream is stalled if all its slots are in use and no request has ended for stallRatio times its service time plus
@@ -300,10 +302,10 @@
 	}
 }
 
-// pauseIfFull stops requests to an upstream that refused one while its slots are in use. Others refuse at random, and the
+// pauseIfFull stops requests to an upstream that refused one while many were in flight. Others refuse at random, and the
 // next request has the same chance as any.
 func (l *load) pauseIfFull(now time.Duration) {
-	if l.inFlight >= l.slots {
+	if l.inFlight >= fullRatio*l.slots {
 		l.pausedUntil = now + refusalPause
 	}
 }
