Refuse requests for owners in a data centre that is cut off, and keep connections

A host that gets no answer of a broker probes all brokers of that data centre; if all are silent while its own answer, keyed requests for owners there are refused at once instead of waiting for the deadline. Dialling ends after 300 ms, before the system would repeat a lost opening packet. Among upstreams that respond about as fast, a host prefers the same ones.

--- a/internal/assign/assign.go
+++ b/internal/assign/assign.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"baobabreach/internal/model"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -16,6 +18,8 @@
 	serviceTimeWeight = 0.1
 	// maxObservationRatio limits one observed service time, in multiples of the average.
 	maxObservationRatio = 4.0
+	// similarTimeRatio is the ratio of expected durations up to which a host may prefer an upstream to the fastest one.
+	similarTimeRatio = 1.3
 	// defaultServiceTime is used before the first response of a service.
 	defaultServiceTime = 100 * time.Millisecond
 	// loadPenalty is the share by which a service time grows until all slots are in use, since many upstreams slow down
@@ -125,8 +129,6 @@
 
 // Assigner holds the load of the upstreams. It is not safe for concurrent use.
 type Assigner struct {
-	random func(n int) int
-
 	loads    map[string]*load
 	inFlight map[ID]assignment
 	// serviceTimes holds the average time of a request without queueing by service, in seconds.
@@ -139,10 +141,10 @@
 	Granted, Refused, Ejections int64
 }
 
-// New returns an assigner without knowledge. random returns a number in [0, n).
-func New(random func(n int) int) *Assigner {
+// New returns an assigner without knowledge.
+func New() *Assigner {
 	return &Assigner{
-		random: random, loads: map[string]*load{}, inFlight: map[ID]assignment{}, serviceTimes: map[string]float64{},
+		loads: map[string]*load{}, inFlight: map[ID]assignment{}, serviceTimes: map[string]float64{},
 	}
 }
 
@@ -151,20 +153,24 @@
 
 // Choose assigns the request to the candidate that will probably respond first, unless even that would be late.
 func (a *Assigner) Choose(now time.Duration, r Request, candidates []model.Upstream) Decision {
-	best, bestTime := -1, math.Inf(1)
+	times, shortest := make([]float64, len(candidates)), math.Inf(1)
 	ejectionsApply := a.ejectionsApply(now, candidates)
-	offset := 0
-	if len(candidates) > 0 {
-		offset = a.random(len(candidates))
+	for i, u := range candidates {
+		l := a.loadOf(u)
+		times[i] = math.Inf(1)
+		if now < l.pausedUntil || (ejectionsApply && now < l.ejectedUntil) || a.stalled(now, u, l) {
+			continue
+		}
+		times[i] = a.expectedTime(u, l)
+		shortest = min(shortest, times[i])
 	}
-	for i := range candidates {
-		i = (i + offset) % len(candidates)
-		l := a.loadOf(candidates[i])
-		if now < l.pausedUntil || (ejectionsApply && now < l.ejectedUntil) || a.stalled(now, candidates[i], l) {
+	best, bestAffinity := -1, uint64(0)
+	for i, u := range candidates {
+		if times[i] > similarTimeRatio*shortest || math.IsInf(times[i], 1) {
 			continue
 		}
-		if t := a.expectedTime(candidates[i], l); t < bestTime {
-			best, bestTime = i, t
+		if affinity := affinityOf(r.ID.Host, u); best < 0 || affinity > bestAffinity {
+			best, bestAffinity = i, affinity
 		}
 	}
 	if best < 0 {
@@ -173,6 +179,13 @@
 	return a.admit(now, r, candidates[best])
 }
 
+// affinityOf returns a hash by which a host prefers some upstreams to others that respond as fast, so that it finds open
+// connections to them.
+func affinityOf(host netip.AddrPort, u model.Upstream) uint64 {
+	b, _ := host.MarshalBinary()
+	return xxhash.Sum64(append(b, u.Name...))
+}
+
 // Admit decides on a request for the owner of a key.
 func (a *Assigner) Admit(now time.Duration, r Request, owner model.Upstream) Decision {
 	l := a.loadOf(owner)
--- a/internal/broker/client.go
+++ b/internal/broker/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,11 +17,10 @@
 const (
 	// answerTimeout is how long a host waits for an answer before it chooses an upstream on its own.
 	answerTimeout = 30 * time.Millisecond
-	// missesToSuspect is the number of consecutive missing answers after which a broker is not asked for a while. Single
+	// missesToSuspect is the number of consecutive missing answers after which a broker is not asked for suspectTime. Single
 	// datagrams get lost.
 	missesToSuspect = 2
-	minSuspectTime  = 250 * time.Millisecond
-	maxSuspectTime  = 2 * time.Second
+	suspectTime     = 400 * time.Millisecond
 )
 
 // Query is a request for an upstream.
@@ -67,9 +67,8 @@
 
 // Client asks brokers. It is safe for concurrent use.
 type Client struct {
-	clock func() time.Duration
+	cfg   ClientConfig
 	token []byte
-	send  func(b []byte, to netip.AddrPort)
 
 	mu       sync.Mutex
 	sequence uint64
@@ -96,12 +95,15 @@
 	Token string
 	// Send sends a datagram. It must not block.
 	Send func(b []byte, to netip.AddrPort)
+	// DataCentre is that of the host, and Members returns the current brokers.
+	DataCentre string
+	Members    func() []Member
 }
 
 // NewClient returns a client. The owner of the socket must pass received datagrams to Receive.
 func NewClient(cfg ClientConfig) *Client {
 	return &Client{
-		clock: cfg.Clock, token: []byte(cfg.Token), send: cfg.Send, pending: map[uint64]chan answer{},
+		cfg: cfg, token: []byte(cfg.Token), pending: map[uint64]chan answer{},
 		// A host that restarts must not reuse the numbers of its previous process.
 		sequence: rand.Uint64(), suspects: map[netip.AddrPort]*suspect{},
 	}
@@ -111,8 +113,38 @@
 func (c *Client) Available(broker netip.AddrPort) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.available(broker)
+}
+
+func (c *Client) available(broker netip.AddrPort) bool {
 	s := c.suspects[broker]
-	return s == nil || c.clock() >= s.until
+	return s == nil || c.cfg.Clock() >= s.until
+}
+
+// minBrokersToConclude is the number of silent brokers of a data centre from which a host concludes that it can't reach
+// the data centre. A single one may have failed.
+const minBrokersToConclude = 2
+
+// Reachable returns false if all brokers of the data centre are silent while one of the own data centre answers. Requests
+// to upstreams there would most likely wait until they time out.
+func (c *Client) Reachable(dataCentre string) bool {
+	if dataCentre == c.cfg.DataCentre {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	silent, anyLocal := 0, false
+	for _, m := range c.cfg.Members() {
+		switch available := c.available(m.Address); {
+		case m.DataCentre == dataCentre && available:
+			return true
+		case m.DataCentre == dataCentre:
+			silent++
+		case m.DataCentre == c.cfg.DataCentre && available:
+			anyLocal = true
+		}
+	}
+	return silent < minBrokersToConclude || !anyLocal
 }
 
 // Ask requests an upstream from the broker.
@@ -141,7 +173,7 @@
 			i++
 		}
 	}
-	c.send(encode(c.token, kindAsk, sequence, m), broker)
+	c.cfg.Send(encode(c.token, kindAsk, sequence, m), broker)
 	timer := time.NewTimer(answerTimeout)
 	defer timer.Stop()
 	ticket := Ticket{broker: broker, sequence: sequence}
@@ -163,7 +195,26 @@
 	return Answer{}, ErrNoAnswer
 }
 
+// miss records a missing answer. After the first one it probes all brokers of the data centre, to learn soon whether the
+// data centre or only that broker is silent.
 func (c *Client) miss(broker netip.AddrPort) {
+	if c.recordMiss(broker) != 1 {
+		return
+	}
+	members := c.cfg.Members()
+	i := slices.IndexFunc(members, func(m Member) bool { return m.Address == broker })
+	if i < 0 {
+		return
+	}
+	for _, m := range members {
+		if m.DataCentre == members[i].DataCentre && m.DataCentre != c.cfg.DataCentre {
+			c.probe(m.Address)
+		}
+	}
+}
+
+// recordMiss returns the number of consecutive missing answers of the broker.
+func (c *Client) recordMiss(broker netip.AddrPort) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.stats.Unanswered++
@@ -174,7 +225,29 @@
 	}
 	s.misses++
 	if s.misses >= missesToSuspect {
-		s.until = c.clock() + min(maxSuspectTime, minSuspectTime<<min(s.misses-missesToSuspect, 8))
+		s.until = c.cfg.Clock() + suspectTime
+	}
+	return s.misses
+}
+
+// probe sends datagrams that only ask for a sign of life.
+func (c *Client) probe(broker netip.AddrPort) {
+	for range missesToSuspect {
+		c.mu.Lock()
+		c.sequence++
+		sequence := c.sequence
+		c.pending[sequence] = make(chan answer, 1)
+		c.mu.Unlock()
+		c.cfg.Send(encode(c.token, kindPing, sequence, done{}), broker)
+		time.AfterFunc(answerTimeout, func() {
+			c.mu.Lock()
+			_, unanswered := c.pending[sequence]
+			delete(c.pending, sequence)
+			c.mu.Unlock()
+			if unanswered {
+				c.recordMiss(broker)
+			}
+		})
 	}
 }
 
@@ -183,7 +256,7 @@
 	if t.sequence == 0 {
 		return
 	}
-	c.send(encode(c.token, kindDone, t.sequence, done{Result: uint8(r), ElapsedMs: milliseconds(elapsed)}), t.broker)
+	c.cfg.Send(encode(c.token, kindDone, t.sequence, done{Result: uint8(r), ElapsedMs: milliseconds(elapsed)}), t.broker)
 }
 
 // Receive processes a datagram. It ignores datagrams that are no answer to a pending question.
--- a/internal/broker/codec.go
+++ b/internal/broker/codec.go
@@ -20,6 +20,8 @@
 	kindAsk kind = iota + 1
 	kindAnswer
 	kindDone
+	// kindPing has the body of kindDone, which is not used, and gets an empty answer.
+	kindPing
 )
 
 // signatureBytes is the length of the truncated HMAC at the end of each datagram, which is left out without a token.
--- a/internal/broker/server.go
+++ b/internal/broker/server.go
@@ -1,7 +1,6 @@
 package broker
 
 import (
-	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -51,7 +50,7 @@
 
 // NewServer returns a server. The owner of the socket must pass received datagrams to Receive.
 func NewServer(cfg ServerConfig) *Server {
-	return &Server{cfg: cfg, token: []byte(cfg.Token), assigner: assign.New(rand.IntN)}
+	return &Server{cfg: cfg, token: []byte(cfg.Token), assigner: assign.New()}
 }
 
 // Receive processes a datagram. It ignores datagrams that can't be decoded.
@@ -67,6 +66,8 @@
 				s.cfg.Send(encode(s.token, kindAnswer, h.Sequence, a), from)
 			}
 		}
+	case kindPing:
+		s.cfg.Send(encode(s.token, kindAnswer, h.Sequence, answer{}), from)
 	case kindDone:
 		if m, err := decodeBody[done](body); err == nil {
 			s.mu.Lock()
--- a/internal/daemon/broker.go
+++ b/internal/daemon/broker.go
@@ -28,7 +28,7 @@
 func newBrokerSocket(cfg config.Config, d *replicaDirectory, r *localReplica, now Clock, t tokens) *brokerSocket {
 	s := &brokerSocket{address: cfg.Control, directory: d}
 	if cfg.Caller != "" {
-		s.client = broker.NewClient(broker.ClientConfig{Clock: now, Token: t.control, Send: s.send})
+		s.client = broker.NewClient(broker.ClientConfig{Clock: now, Token: t.control, Send: s.send, DataCentre: cfg.DataCentre, Members: d.brokers})
 	}
 	if self, err := netip.ParseAddrPort(cfg.Advertise); err == nil && cfg.IsReplica() {
 		s.server = broker.NewServer(broker.ServerConfig{
@@ -50,7 +50,7 @@
 		return nil
 	}
 	return &gate.Brokers{
-		Members: s.directory.brokers, Done: s.client.Done,
+		Members: s.directory.brokers, Done: s.client.Done, Reachable: s.client.Reachable,
 		Ask: func(ctx context.Context, m broker.Member, q broker.Query) (broker.Answer, error) {
 			return s.client.Ask(ctx, m.Address, q)
 		},
--- a/internal/gate/choose.go
+++ b/internal/gate/choose.go
@@ -22,6 +22,8 @@
 	Ask func(ctx context.Context, m broker.Member, q broker.Query) (broker.Answer, error)
 	// Done reports the end of an assigned request.
 	Done func(t broker.Ticket, r assign.Result, elapsed time.Duration)
+	// Reachable returns false for a data centre that this host is cut off from.
+	Reachable func(dataCentre string) bool
 }
 
 // maxQuestions limits the brokers that are asked for one attempt. Every question takes a round trip.
@@ -145,7 +147,20 @@
 type refusal struct {
 	// overloaded is true if all upstreams that were considered have too many requests already.
 	overloaded bool
-	retryAfter time.Duration
+	// unreachable is true if this host is cut off from the data centre of the owner.
+	unreachable bool
+	retryAfter  time.Duration
+}
+
+// admission returns the decision on a keyed request that a refusal stands for.
+func (r *refusal) admission() Admission {
+	switch {
+	case r == nil:
+		return AdmissionGranted
+	case r.unreachable:
+		return AdmissionUnreachable
+	}
+	return AdmissionQueueFull
 }
 
 // chooseUpstream picks an upstream for the next attempt and counts the request in flight there.
@@ -232,10 +247,12 @@
 	q := c.query()
 	q.Owner = owner.Name
 	answer, err := c.ask(ctx, m, q)
-	if err != nil {
+	switch {
+	case err != nil && !brokers.Reachable(owner.DataCentre):
+		return choice{}, &refusal{unreachable: true}, true
+	case err != nil:
 		return choice{}, nil, false
-	}
-	if !answer.Granted {
+	case !answer.Granted:
 		return choice{}, &refusal{overloaded: true, retryAfter: answer.RetryAfter}, true
 	}
 	if _, found := answer.Find([]model.Upstream{owner}); !found {
--- a/internal/gate/keyed.go
+++ b/internal/gate/keyed.go
@@ -59,6 +59,8 @@
 		return proto.CodeOverloaded, "enough requests wait for the owner of the key"
 	case AdmissionWait:
 		return proto.CodeOverloaded, "the owner of the key had no room in time"
+	case AdmissionUnreachable:
+		return proto.CodeNoUpstream, "the data centre of the owner of the key can't be reached"
 	}
 	return proto.CodeNoUpstream, "the key has no owner"
 }
@@ -89,10 +91,8 @@
 			c.rangeFirst, c.rangeLast = target.Assignment.First/model.OrderedSpan, target.Assignment.Last/model.OrderedSpan
 			c.rangeEpoch = target.Assignment.Epoch
 			if waitingFor.Name == "" {
-				if chosen, refused, ok := c.askForOwner(ctx, target.Upstream); ok && refused != nil {
-					return target, changed, AdmissionQueueFull, chosen
-				} else if ok {
-					return target, changed, AdmissionGranted, chosen
+				if chosen, refused, ok := c.askForOwner(ctx, target.Upstream); ok {
+					return target, changed, refused.admission(), chosen
 				}
 			}
 			admission = c.gate.cfg.Picker.Acquire(c.now(), target.Upstream, waitingFor.Name != "")
--- a/internal/gate/pick.go
+++ b/internal/gate/pick.go
@@ -166,6 +166,8 @@
 	AdmissionWait Admission = "wait"
 	// AdmissionQueueFull means that too many requests wait already.
 	AdmissionQueueFull Admission = "none"
+	// AdmissionUnreachable means that the host is cut off from the data centre of the owner.
+	AdmissionUnreachable Admission = "unreachable"
 	// AdmissionEjected means that the owner gets no requests for a while because it failed too often.
 	AdmissionEjected Admission = "ejected"
 )
--- a/internal/pipe/conn.go
+++ b/internal/pipe/conn.go
@@ -100,8 +100,14 @@
 	return defaultIdleTimeout
 }
 
+// dialTimeout ends the dialling of a connection whose opening packet was probably lost. The system would send it again
+// only after a second.
+const dialTimeout = 300 * time.Millisecond
+
 // dial opens a connection. ctx applies to dialling only, not to the use of the connection.
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
 	p.updateStats(func(s *Stats) { s.Dials++ })
 	c, err := p.cfg.Dial(ctx, "tcp", address)
 	if err != nil {
