--- a/internal/assign/assign.go
+++ b/internal/assign/assign.go
@@ -49,6 +49,8 @@
 	fullRatio = 3
 	// refusalPause is how long an upstream gets no requests after it refused one for lack of capacity.
 	refusalPause = 60 * time.Millisecond
+	// refusalHalfLife is the time in which half of the refused requests are expected to have come back or to be given up.
+	refusalHalfLife = 200 * time.Millisecond
 	// An upstream is stalled if all its slots are in use and no request has ended for stallRatio times its service time plus
 	// stallMargin.
 	stallRatio  = 4.0
@@ -110,7 +112,10 @@
 	// progressAt is the time of the last response, or of the first request in flight if that is later.
 	progressAt time.Duration
 	// freeAt is the last time at which a request found a free slot.
-	freeAt              time.Duration
+	freeAt time.Duration
+	// refusals is the decayed number of requests that were refused until refusedAt.
+	refusals            float64
+	refusedAt           time.Duration
 	consecutiveFailures int
 	failureRate         float64
 	ejections           int
@@ -215,7 +220,10 @@
 	limit := min(share*r.Objective.Seconds(), timeoutShare*r.Timeout.Seconds())
 	// Without an alternative, a free slot is used even if the upstream is slow.
 	if expected > limit && (r.MayMove || l.inFlight >= l.slots) {
-		return a.refuse(seconds(expected - limit))
+		if !r.MayMove {
+			l.countRefusal(now)
+		}
+		return a.refuse(seconds(expected - limit + l.refusals*a.serviceTime(u, l)/float64(l.slots)))
 	}
 	if l.inFlight == 0 {
 		l.progressAt = now
@@ -315,6 +323,12 @@
 	}
 }
 
+// countRefusal counts a request that will probably come back. The count is halved every refusalHalfLife.
+func (l *load) countRefusal(now time.Duration) {
+	l.refusals = 1 + l.refusals*math.Exp2(-float64(now-l.refusedAt)/float64(refusalHalfLife))
+	l.refusedAt = now
+}
+
 // pauseIfFull stops requests to an upstream that refused one while many were in flight. Others refuse at random, and the
 // next request has the same chance as any.
 func (l *load) pauseIfFull(now time.Duration) {
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -23,7 +23,7 @@
 	defaultTimeout = 30 * time.Second
 	// ownerWaitShare is the share of the latency objective for which a keyed request may wait for an owner that accepts it.
 	ownerWaitShare = 0.75
-	// retryAfter is the Retry-After time of a refusal. Most causes last less than a second.
+	// retryAfter is the shortest Retry-After time of a refusal. Most causes last less than a second.
 	retryAfter = 120 * time.Millisecond
 	// ownerRetryInterval is the pause before a retry at an owner that refused a key which it is about to gain or lose.
 	ownerRetryInterval = 150 * time.Millisecond
@@ -54,6 +54,8 @@
 	// mayHaveRun is true once an upstream may have run the request.
 	mayHaveRun bool
 	reason     string
+	// retryAfter is the time after which the broker that refused the request expects to have room.
+	retryAfter time.Duration
 	// failedResponse is the last 5xx response of an upstream.
 	failedResponse *pipe.Response
 	// failedAttempts describes how the first failed attempts ended, at most maxLoggedAttempts of them.
@@ -269,7 +271,9 @@
 // refuse returns the response to a request that did not run and will not run.
 func (c *call) refuse(code proto.Code, reason string) response {
 	c.reason = reason
-	return response{Response: pipe.Response{Status: http.StatusServiceUnavailable}, code: code, retryAfter: retryAfter}
+	return response{
+		Response: pipe.Response{Status: http.StatusServiceUnavailable}, code: code, retryAfter: max(retryAfter, c.retryAfter),
+	}
 }
 
 // giveUp returns the response to a request for which no further attempt is made.
--- a/internal/gate/choose.go
+++ b/internal/gate/choose.go
@@ -149,7 +149,6 @@
 	overloaded bool
 	// unreachable is true if this host is cut off from the data centre of the owner.
 	unreachable bool
-	retryAfter  time.Duration
 }
 
 // admission returns the decision on a keyed request that a refusal stands for.
@@ -186,7 +185,7 @@
 		case err != nil:
 			return c.pick(upstreams.all)
 		case !answer.Granted:
-			refused.overloaded, refused.retryAfter = true, answer.RetryAfter
+			refused.overloaded, c.retryAfter = true, answer.RetryAfter
 			continue
 		}
 		if u, ok := answer.Find(g.upstreams); ok && !c.tried[u.Name] {
@@ -253,7 +252,8 @@
 	case err != nil:
 		return choice{}, nil, false
 	case !answer.Granted:
-		return choice{}, &refusal{overloaded: true, retryAfter: answer.RetryAfter}, true
+		c.retryAfter = answer.RetryAfter
+		return choice{}, &refusal{overloaded: true}, true
 	}
 	if _, found := answer.Find([]model.Upstream{owner}); !found {
 		brokers.Done(answer.Ticket, assign.ResultNeutral, 0)
