Distrust late refusals without an ID, and use the whole grace period at a stop

A refusal without an ID that arrived late on a connection in use again was taken for the answer to the next request: a request that must not be repeated would have been sent again while it ran (new test, failed before). It now counts as unknown. Members are asked for within the data centre first.

--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -30,7 +30,7 @@
 	"log":       {"level", "format"},
 	"requests":  {"max_header_bytes", "max_body_bytes", "max_answer_bytes", "max_answer_header_bytes", "body_timeout"},
 	"admission": {"policy"},
-	"stop":      {"balancer_delay", "timeout"},
+	"stop":      {"balancer_delay", "timeout", "grace"},
 	"access":    {"operator_token_file", "control_token_file"},
 	"gateway": {
 		"ready", "registry", "seeds", "first_start", "heartbeat", "grant_ttl", "max_grant_ttl", "retry_ratio", "retry_slack",
@@ -92,6 +92,9 @@
 		Services:               r.services(),
 		Limits:                 r.limits(),
 	}
+	if grace := r.duration("stop", "grace", 0); grace > 0 {
+		c.StopTimeout = r.stopTimeoutWithin(grace, c.BalancerDelay)
+	}
 	c.Advertise = c.Control
 	if r.text("listen", "advertise", "") != "" {
 		c.Advertise = r.address("listen", "advertise")
@@ -298,3 +301,14 @@
 	}
 	return out
 }
+
+// exitMargin is the part of the grace period that is left for closing listeners and files after the last request.
+const exitMargin = 600 * time.Millisecond
+
+// stopTimeoutWithin returns the time for requests in flight during a shutdown that must end within the grace period.
+func (r *reader) stopTimeoutWithin(grace, balancerDelay time.Duration) time.Duration {
+	if grace <= balancerDelay+exitMargin {
+		r.addProblem("stop", "grace", grace.String(), "more than balancer_delay and "+exitMargin.String())
+	}
+	return grace - balancerDelay - exitMargin
+}
--- a/internal/daemon/directory.go
+++ b/internal/daemon/directory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -71,12 +72,20 @@
 	}
 }
 
-// candidates returns the replica addresses to query, the current leader first.
+// candidates returns the replica addresses to query. Those of the own data centre come first, since traffic between data
+// centres is billed and hundreds of hosts ask; then the current leader.
 func (d *replicaDirectory) candidates() []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	out := []string{d.leader.Leader()}
-	for _, a := range slices.Concat(d.members, d.seeds) {
+	var local []string
+	for _, m := range d.brokerMembers {
+		if m.DataCentre == d.cfg.DataCentre {
+			local = append(local, m.Address.String())
+		}
+	}
+	rand.Shuffle(len(local), func(i, j int) { local[i], local[j] = local[j], local[i] })
+	out := []string{}
+	for _, a := range slices.Concat(local, []string{d.leader.Leader()}, d.members, d.seeds) {
 		if !slices.Contains(out, a) {
 			out = append(out, a)
 		}
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -141,16 +141,11 @@
 	)
 }
 
-const (
-	// gcPercent makes garbage collection rarer than the default: processor time is scarcer than memory.
-	gcPercent = 200
-	// softMemoryLimitShare is the fraction of the allowed memory that is set as the soft limit of the Go runtime.
-	softMemoryLimitShare = 0.7
-)
+// softMemoryLimitShare is the fraction of the allowed memory that is set as the soft limit of the Go runtime.
+const softMemoryLimitShare = 0.7
 
 // limitMemory configures the garbage collector so that the process stays below its allowed memory.
 func limitMemory(cfg config.Config) {
-	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(softMemoryLimitShare * float64(cfg.Gateway.MemoryMB<<20)))
 }
 
--- a/internal/pipe/conn.go
+++ b/internal/pipe/conn.go
@@ -28,7 +28,9 @@
 	net.Conn
 	br *bufio.Reader
 	// limit bounds what br reads from Conn.
-	limit        *limitedReader
+	limit *limitedReader
+	// reused is true after the first response.
+	reused       bool
 	idleDeadline time.Duration
 }
 
--- a/internal/pipe/pipe_test.go
+++ b/internal/pipe/pipe_test.go
@@ -286,3 +286,25 @@
 	is.Equal(f.Stage, pipe.StageUnknown)
 	is.True(time.Since(startedAt) < 5*time.Second)
 }
+
+// Guards against a late copy of a refusal without an ID that is taken for the answer to the next request on the connection:
+// that request would be sent again, although it runs.
+func TestLateRefusalWithoutIDIsNotForTheNextRequest(t *testing.T) {
+	is := is.New(t)
+	const refusal = "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	address, acceptedConns := startUpstream(t, func(c net.Conn, n int, r *http.Request) {
+		if n == 1 {
+			writeString(c, refusal)
+		}
+		writeString(c, signedResponse(r.Header.Get("X-Id"), "ok"))
+	})
+	p := newPool()
+	_, f := p.Send(context.Background(), newRequest(address, "1"))
+	is.True(f == nil)
+	_, f = p.Send(context.Background(), newRequest(address, "2"))
+	is.True(f != nil)
+	is.Equal(f.Stage, pipe.StageUnknown)
+	_, f = p.Send(context.Background(), newRequest(address, "3"))
+	is.True(f == nil)
+	is.Equal(acceptedConns.Load(), int64(2))
+}
--- a/internal/pipe/send.go
+++ b/internal/pipe/send.go
@@ -126,7 +126,10 @@
 		_ = resp.Body.Close()
 	}()
 	id := resp.Header.Get(p.cfg.Names.RequestID)
-	if id != req.ID && (id != "" || resp.Header.Get(p.cfg.Names.NotRun) == "") {
+	// A refusal may lack the ID, but on a reused connection it may then be a late copy for an earlier request.
+	namesNoRequest := id == "" && resp.Header.Get(p.cfg.Names.NotRun) != "" && !c.reused
+	c.reused = true
+	if id != req.ID && !namesNoRequest {
 		p.updateStats(func(s *Stats) { s.MismatchedResponses++ })
 		return nil, false, unknownFailure("answer to another request "+strconv.Quote(id), nil)
 	}
