--- a/internal/assign/load_test.go
+++ b/internal/assign/load_test.go
@@ -75,9 +75,8 @@
 // outcome counts how requests ended.
 type outcome struct {
 	sent, onTime, late, refused, failed int
-	// heldRefusals are refusals after the request had waited.
-	heldRefusals int
-	remote       int
+	// remote counts requests that another data centre ran.
+	remote int
 }
 
 func (o outcome) String() string {
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -68,7 +68,8 @@
 		Clock: p.clock, Token: clientToken, DataCentre: "b",
 		Members: func() []broker.Member {
 			return []broker.Member{
-				{Address: brokerAddress, DataCentre: "a"}, {Address: secondAddress, DataCentre: "a"},
+				{Address: brokerAddress, DataCentre: "a"},
+				{Address: secondAddress, DataCentre: "a"},
 				{Address: localAddress, DataCentre: "b"},
 			}
 		},
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -107,9 +107,10 @@
 // Guards against a shutdown that cuts off requests although the platform would have left them more time.
 func TestStopTimeoutFillsTheGracePeriod(t *testing.T) {
 	is := is.New(t)
-	c, err := loadSettings(t, strings.Replace(validSettings, "balancer_delay = 500ms", "balancer_delay = 2200ms\ngrace = 10s", 1))
+	const delay = "balancer_delay = 500ms"
+	c, err := loadSettings(t, strings.Replace(validSettings, delay, "balancer_delay = 2200ms\ngrace = 10s", 1))
 	is.NoErr(err)
 	is.Equal(c.StopTimeout, 7200*time.Millisecond)
-	_, err = loadSettings(t, strings.Replace(validSettings, "balancer_delay = 500ms", "balancer_delay = 500ms\ngrace = 1s", 1))
+	_, err = loadSettings(t, strings.Replace(validSettings, delay, delay+"\ngrace = 1s", 1))
 	is.True(err != nil)
 }
--- a/internal/daemon/broker.go
+++ b/internal/daemon/broker.go
@@ -28,7 +28,9 @@
 func newBrokerSocket(cfg config.Config, d *replicaDirectory, r *localReplica, now Clock, t tokens) *brokerSocket {
 	s := &brokerSocket{address: cfg.Control, directory: d}
 	if cfg.Caller != "" {
-		s.client = broker.NewClient(broker.ClientConfig{Clock: now, Token: t.control, Send: s.send, DataCentre: cfg.DataCentre, Members: d.brokers})
+		s.client = broker.NewClient(broker.ClientConfig{
+			Clock: now, Token: t.control, Send: s.send, DataCentre: cfg.DataCentre, Members: d.brokers,
+		})
 	}
 	if self, err := netip.ParseAddrPort(cfg.Advertise); err == nil && cfg.IsReplica() {
 		s.server = broker.NewServer(broker.ServerConfig{
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -135,8 +135,8 @@
 		),
 		// fx stops these in reverse order, so that the table is kept up to date until the last caller is served.
 		fx.Invoke(
-			limitMemory, startReloader, startReplica, startReplicaDirectory, startBrokerSocket, startGauges, startGate, startInitialTableFetcher,
-			startGatewayListeners,
+			limitMemory, startReloader, startReplica, startReplicaDirectory, startBrokerSocket, startGauges, startGate,
+			startInitialTableFetcher, startGatewayListeners,
 		),
 	)
 }
@@ -176,8 +176,8 @@
 
 func newPipePool(cfg config.Config, dial DialFunc, now Clock, adapter Adapter) *pipe.Pool {
 	return pipe.New(pipe.Config{
-		Names: adapter.Names, Dial: dial, Now: now, MaxHeadBytes: cfg.MaxResponseHeaderBytes, MaxResponseBytes: gatewayMaxResponseBytes,
-		MaxIdle: maxIdlePerUpstream,
+		Names: adapter.Names, Dial: dial, Now: now, MaxHeadBytes: cfg.MaxResponseHeaderBytes,
+		MaxResponseBytes: gatewayMaxResponseBytes, MaxIdle: maxIdlePerUpstream,
 	})
 }
 
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -124,12 +124,19 @@
 }
 
 func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	return newFixtureWithBrokers(t, nil)
+}
+
+func newFixtureWithBrokers(t *testing.T, brokers *gate.Brokers) *fixture {
 	t.Helper()
 	f := &fixture{t: t, view: route.NewView(), now: time.Hour}
 	f.gate = gate.New(gate.Config{
-		Names: names, View: f.view, Clock: f.clock, MaxBodyBytes: 1 << 20, MaxBufferedBytes: 8 << 20,
+		Names: names, View: f.view, Clock: f.clock, Brokers: brokers, DataCentre: "a",
+		MaxBodyBytes: 1 << 20, MaxBufferedBytes: 8 << 20,
 		Pool: pipe.New(pipe.Config{
-			Names: names, Dial: (&net.Dialer{Timeout: time.Second}).DialContext, Now: f.clock, MaxHeadBytes: 64 << 10, MaxResponseBytes: 1 << 20, MaxIdle: 2,
+			Names: names, Dial: (&net.Dialer{Timeout: time.Second}).DialContext, Now: f.clock,
+			MaxHeadBytes: 64 << 10, MaxResponseBytes: 1 << 20, MaxIdle: 2,
 		}),
 		Picker: gate.NewPicker("a", func(int) int { return 0 }),
 		Budget: gate.NewBudget(gate.BudgetConfig{Ratio: 0.2, Slack: 40, Window: 10 * time.Second}),
--- a/internal/gate/split_test.go
+++ b/internal/gate/split_test.go
@@ -13,16 +13,19 @@
 // Guards against a split that gives requests to a service with weight 0, that does not keep the proportions of the
 // weights, or that depends on their sum.
 func TestServicesAreChosenByWeight(t *testing.T) {
+	split := func(a, b float64) []model.WeightedService {
+		return []model.WeightedService{{Service: "a", Weight: a}, {Service: "b", Weight: b}}
+	}
 	for name, c := range map[string]struct {
 		weights []model.WeightedService
 		shares  map[string]float64
 	}{
 		"one service":       {[]model.WeightedService{{Service: "a", Weight: 1}}, map[string]float64{"a": 1}},
-		"sum of 100":        {[]model.WeightedService{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}, map[string]float64{"a": 0.9, "b": 0.1}},
-		"tiny weights":      {[]model.WeightedService{{Service: "a", Weight: 3e-308}, {Service: "b", Weight: 1e-308}}, map[string]float64{"a": 0.75, "b": 0.25}},
-		"huge weights":      {[]model.WeightedService{{Service: "a", Weight: 1.7e308}, {Service: "b", Weight: 1.7e308}}, map[string]float64{"a": 0.5, "b": 0.5}},
-		"last weight is 0":  {[]model.WeightedService{{Service: "a", Weight: 1}, {Service: "b"}}, map[string]float64{"a": 1}},
-		"first weight is 0": {[]model.WeightedService{{Service: "a"}, {Service: "b", Weight: 1}}, map[string]float64{"b": 1}},
+		"sum of 100":        {split(90, 10), map[string]float64{"a": 0.9, "b": 0.1}},
+		"tiny weights":      {split(3e-308, 1e-308), map[string]float64{"a": 0.75, "b": 0.25}},
+		"huge weights":      {split(1.7e308, 1.7e308), map[string]float64{"a": 0.5, "b": 0.5}},
+		"last weight is 0":  {split(1, 0), map[string]float64{"a": 1}},
+		"first weight is 0": {split(0, 1), map[string]float64{"b": 1}},
 		"service named twice": {
 			[]model.WeightedService{{Service: "a", Weight: 1}, {Service: "b", Weight: 2}, {Service: "a", Weight: 1}},
 			map[string]float64{"a": 0.5, "b": 0.5},
@@ -44,6 +47,6 @@
 		})
 	}
 	is := is.New(t)
-	_, ok := gate.ChooseService(model.Route{Services: []model.WeightedService{{Service: "a"}, {Service: "b"}}}, 0)
+	_, ok := gate.ChooseService(model.Route{Services: split(0, 0)}, 0)
 	is.True(!ok)
 }
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -185,7 +185,7 @@
 //
 // Messages to another ID are dropped: they are addressed to a disk that this host has lost.
 func (m *Machine) Step(now time.Duration, msg Message) {
-	if msg.To != m.cfg.ID {
+	if msg.To != m.cfg.ID || !m.isWellFormed(msg) {
 		return
 	}
 	switch msg.Type {
