Stop using upstreams that run nothing

A 421 of a service that is not keyed now excludes the upstream, for this request and for 4 s. The broker made it worse: an upstream that ends requests at once always has the fewest in flight. Its share of requests that ended without a response now counts like time lost.

--- a/internal/assign/assign.go
+++ b/internal/assign/assign.go
@@ -41,8 +41,10 @@
 	// failureRateLimit is the failure rate above which an upstream is ejected.
 	failureRateLimit  = 0.4
 	failureRateWeight = 0.1
-	minEjection       = 500 * time.Millisecond
-	maxEjection       = 4 * time.Second
+	// unusedRateWeight is the weight of one request in the average share of requests without a response.
+	unusedRateWeight = 0.1
+	minEjection      = 500 * time.Millisecond
+	maxEjection      = 4 * time.Second
 	// maxEjectedDivisor limits the ejected upstreams of a service to a third of those assigned here.
 	maxEjectedDivisor = 3
 	// fullRatio is the number of requests in flight per slot from which a refusal is put down to a full queue.
@@ -72,6 +74,8 @@
 	ResultTimedOut
 	// ResultRefused means that the upstream had no capacity.
 	ResultRefused
+	// ResultMisdirected means that another process has the address of the upstream.
+	ResultMisdirected
 	// ResultNeutral gives no information about the upstream, e.g. because the caller disconnected.
 	ResultNeutral
 )
@@ -113,6 +117,8 @@
 	progressAt time.Duration
 	// freeAt is the last time at which a request found a free slot.
 	freeAt time.Duration
+	// unusedRate is the average share of requests that ended without a response.
+	unusedRate float64
 	// refusals is the decayed number of requests that were refused until refusedAt.
 	refusals            float64
 	refusedAt           time.Duration
@@ -166,7 +172,8 @@
 		if now < l.pausedUntil || (ejectionsApply && now < l.ejectedUntil) || a.stalled(now, u, l) {
 			continue
 		}
-		times[i] = a.expectedTime(u, l)
+		// A request that is not run has to be sent elsewhere or fails, which costs about the time that it had.
+		times[i] = a.expectedTime(u, l) + l.unusedRate*r.Objective.Seconds()
 		shortest = min(shortest, times[i])
 	}
 	best, bestAffinity := -1, uint64(0)
@@ -298,6 +305,7 @@
 		return
 	}
 	l.inFlight = max(0, l.inFlight-1)
+	l.countUse(r)
 	switch r {
 	case ResultSuccess:
 		a.observe(s, l, elapsed)
@@ -319,10 +327,23 @@
 	case ResultRefused:
 		l.progressAt = now
 		l.pauseIfFull(now)
+	case ResultMisdirected:
+		l.ejectedUntil = now + maxEjection
 	case ResultNeutral:
 	}
 }
 
+// countUse updates the share of requests that ended without a response.
+func (l *load) countUse(r Result) {
+	switch r {
+	case ResultSuccess:
+		l.unusedRate -= l.unusedRate * unusedRateWeight
+	case ResultNeutral:
+	default:
+		l.unusedRate += (1 - l.unusedRate) * unusedRateWeight
+	}
+}
+
 // countRefusal counts a request that will probably come back. The count is halved every refusalHalfLife.
 func (l *load) countRefusal(now time.Duration) {
 	l.refusals = 1 + l.refusals*math.Exp2(-float64(now-l.refusedAt)/float64(refusalHalfLife))
--- a/internal/assign/assign_test.go
+++ b/internal/assign/assign_test.go
@@ -1,6 +1,7 @@
 package assign_test
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -113,3 +114,33 @@
 	a.Done(now, assign.ID{Sequence: 1}, assign.ResultSuccess, time.Second)
 	is.True(a.Admit(now, rs.next(), u).Granted())
 }
+
+// Guards against an upstream that ends requests at once without running them and therefore always seems to have the fewest
+// requests in flight.
+func TestUpstreamThatRunsNothingAttractsNoRequests(t *testing.T) {
+	for name, result := range map[string]assign.Result{
+		"refused": assign.ResultRefused, "misdirected": assign.ResultMisdirected, "failed": assign.ResultFailed,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			a, rs := assign.New(), &requests{}
+			candidates := []model.Upstream{newUpstream("bad"), newUpstream("u1"), newUpstream("u2"), newUpstream("u3")}
+			now := time.Second
+			toBad := 0
+			for range 200 {
+				r := rs.next()
+				r.ID.Host = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(rs.sequence)}), 1)
+				d := a.Choose(now, r, candidates)
+				is.True(d.Granted())
+				if d.Upstream.Name == "bad" {
+					toBad++
+					a.Done(now+time.Millisecond, r.ID, result, time.Millisecond)
+				} else {
+					a.Done(now+100*time.Millisecond, r.ID, assign.ResultSuccess, 100*time.Millisecond)
+				}
+				now += 20 * time.Millisecond
+			}
+			is.True(toBad < 200/len(candidates)/2)
+		})
+	}
+}
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -60,7 +60,8 @@
 	failedResponse *pipe.Response
 	// failedAttempts describes how the first failed attempts ended, at most maxLoggedAttempts of them.
 	failedAttempts []string
-	// key is the key of a keyed request; the other fields describe the range that contains it.
+	// keyed is true for a request of a keyed service. key is its key; the other fields describe the range that contains it.
+	keyed                 bool
 	key                   int
 	rangeFirst, rangeLast uint64
 	rangeEpoch            uint64
@@ -125,7 +126,8 @@
 		return resp
 	}
 	c.gate.cfg.Budget.RecordRequest(c.now(), c.service, c.gate.hostCount())
-	if t.Services[c.service].Keyed {
+	c.keyed = t.Services[c.service].Keyed
+	if c.keyed {
 		return c.runKeyed(ctx, r)
 	}
 	return c.runUnkeyed(ctx, r)
@@ -190,7 +192,7 @@
 		ID: c.id, Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header, Body: c.body,
 		Timeout: c.deadline - now, Upstream: u.Name, Address: u.Address,
 	})
-	c.endAttempt(chosen, attemptResult(ctx, resp, failure), c.now()-now)
+	c.endAttempt(chosen, c.attemptResult(ctx, resp, failure), c.now()-now)
 	if failure == nil {
 		c.mayHaveRun = true
 		c.tried[u.Name] = true
@@ -202,7 +204,8 @@
 		c.tried[u.Name] = true
 	case pipe.StageRefused:
 		c.refusals++
-		if failure.Status != http.StatusMisdirectedRequest {
+		// The owner of a key refuses it until it learns of its assignment.
+		if !c.keyed || !isMisdirected(failure) {
 			c.tried[u.Name] = true
 		}
 	case pipe.StageNotSent:
@@ -213,14 +216,16 @@
 }
 
 // attemptResult returns what an attempt shows about its upstream.
-func attemptResult(ctx context.Context, resp *pipe.Response, failure *pipe.Failure) assign.Result {
+func (c *call) attemptResult(ctx context.Context, resp *pipe.Response, failure *pipe.Failure) assign.Result {
 	switch {
 	case failure == nil && resp.Status < http.StatusInternalServerError:
 		return assign.ResultSuccess
 	case failure == nil:
 		return assign.ResultFailed
-	case failure.Stage == pipe.StageRefused && failure.Status == http.StatusMisdirectedRequest:
+	case isMisdirected(failure) && c.keyed:
 		return assign.ResultNeutral
+	case isMisdirected(failure):
+		return assign.ResultMisdirected
 	case failure.Stage == pipe.StageRefused:
 		return assign.ResultRefused
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
--- a/internal/gate/choose_test.go
+++ b/internal/gate/choose_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -137,3 +138,20 @@
 	}
 	is.Equal(p.Acquire(now, u, false), gate.AdmissionEjected)
 }
+
+// Guards against requests that are sent again and again to an address that now belongs to another upstream. Pattern: a
+// replacement that reuses addresses, seen by hosts that lost their power (incident inc-60b2).
+func TestMisdirectedUpstreamIsNotTriedAgain(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	replaced := newFakeUpstream(t, func(c net.Conn, _ int, r *http.Request) {
+		writeResponse(c, r, "421 Misdirected Request", "X-Not-Run: 1\r\n", "")
+	})
+	good := newFakeUpstream(t, respondOK)
+	f.setTable(1, false, newUpstream("u1", replaced), newUpstream("u2", good))
+	for range 5 {
+		is.Equal(f.do("POST", "/o/1", "x").StatusCode, http.StatusOK)
+	}
+	is.Equal(replaced.requestCount(), 1)
+	is.Equal(good.requestCount(), 5)
+}
--- a/internal/gate/pick.go
+++ b/internal/gate/pick.go
@@ -259,6 +259,8 @@
 	case assign.ResultRefused:
 		h.pausedUntil = now + refusalPause
 		h.hotUntil = now + hotDuration
+	case assign.ResultMisdirected:
+		h.ejectedUntil = now + maxEjection
 	case assign.ResultNeutral:
 	}
 }
