--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -28,6 +28,8 @@
 	upstreamStarts int
 	// diskWiped is true once a disk was wiped: a run wipes at most one.
 	diskWiped bool
+	// plannedOnly is true if hosts are only stopped and started as planned, so that no request may be cut off.
+	plannedOnly bool
 	// Events lists the injected faults, to be printed if the run fails.
 	Events    []string
 	startedAt time.Time
@@ -44,8 +46,42 @@
 // RunSchedule runs the fault schedule of a seed and returns the violations of guarantees. An error means that the run
 // could not be started or completed.
 func RunSchedule(cfg Config, seed uint64) (*Run, []string, error) {
-	r := &Run{cfg: cfg, random: rand.New(rand.NewPCG(seed, 1)), checker: NewChecker(), startedAt: time.Now()}
-	f, err := NewFleet(cfg)
+	r := newRun(cfg, seed)
+	return r.run(func(ctx context.Context) error {
+		for range faultCount {
+			if err := r.injectFault(ctx); err != nil {
+				return err
+			}
+			time.Sleep(time.Duration(r.random.Int64N(int64(maxFaultInterval))))
+		}
+		return nil
+	})
+}
+
+// RunPlannedStops stops and starts one host after the other under load, without any fault. A request that an upstream ran
+// and that ends without an answer is then a violation.
+func RunPlannedStops(cfg Config) (*Run, []string, error) {
+	r := newRun(cfg, 1)
+	r.plannedOnly = true
+	return r.run(func(context.Context) error {
+		for _, h := range r.fleet.Hosts {
+			r.recordEvent("stop %s", h.Name)
+			h.Stop()
+			if err := r.fleet.Start(h); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+func newRun(cfg Config, seed uint64) *Run {
+	return &Run{cfg: cfg, random: rand.New(rand.NewPCG(seed, 1)), checker: NewChecker(), startedAt: time.Now()}
+}
+
+// run starts the fleet and callers, calls disturb, and checks that the fleet recovers.
+func (r *Run) run(disturb func(ctx context.Context) error) (*Run, []string, error) {
+	f, err := NewFleet(r.cfg)
 	if err != nil {
 		return r, nil, err
 	}
@@ -68,11 +104,8 @@
 		wg.Add(1)
 		go func() { defer wg.Done(); r.runCaller(ctx, i) }()
 	}
-	for range faultCount {
-		if err := r.injectFault(ctx); err != nil {
-			return r, nil, err
-		}
-		time.Sleep(time.Duration(r.random.Int64N(int64(maxFaultInterval))))
+	if err := disturb(ctx); err != nil {
+		return r, nil, err
 	}
 	if err := r.fleet.RestoreAll(); err != nil {
 		return r, nil, err
@@ -218,6 +251,9 @@
 			r.checker.RecordFailure()
 		default:
 			r.checker.RecordFailure()
+			if status == 0 && r.plannedOnly && r.checker.WasExecuted(id) {
+				r.checker.ReportViolation("request %s to %s was executed and ended without an answer: %v", id, h.Name, err)
+			}
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -73,6 +73,22 @@
 	}
 }
 
+// Guards against requests that are cut off without an answer by a planned stop under load, after an upstream ran them.
+func TestPlannedStopsCutNothingOff(t *testing.T) {
+	cfg := soak.Config{
+		DaemonPath: buildDaemon(t), Dir: t.TempDir(), LoopbackOctet: 3 + 2*(os.Getpid()%120), EntryHosts: 3,
+	}
+	run, violations, err := soak.RunPlannedStops(cfg)
+	answered, failed := run.Counts()
+	t.Logf("%d answered, %d failed, %d stops", answered, failed, len(run.Events))
+	if err == nil && answered == 0 {
+		violations = append(violations, "no request was answered")
+	}
+	if err != nil || len(violations) > 0 {
+		t.Errorf("%v\nviolations:\n%s\nlogs in %s", err, strings.Join(violations, "\n"), keepLogs(t, cfg.Dir))
+	}
+}
+
 // keepLogs copies the logs of a failed run to a directory that is not removed after the test.
 func keepLogs(t *testing.T, dir string) string {
 	t.Helper()
