--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -23,8 +23,8 @@
 	defaultTimeout = 30 * time.Second
 	// ownerWaitShare is the share of the latency objective for which a keyed request may wait for an owner that accepts it.
 	ownerWaitShare = 0.75
-	// retryAfter is the shortest Retry-After time of a refusal. Most causes last less than a second.
-	retryAfter = 120 * time.Millisecond
+	// minRetryAfter is the shortest Retry-After time of a refusal. Most causes last less than a second.
+	minRetryAfter = 120 * time.Millisecond
 	// ownerRetryInterval is the pause before a retry at an owner that refused a key which it is about to gain or lose.
 	ownerRetryInterval = 150 * time.Millisecond
 	// maxRefusals is the number of refusals by upstreams after which a request is not retried.
@@ -45,10 +45,10 @@
 	tableVersion uint64
 	upstream     string
 	tried        map[string]bool
-	// questions is the number of questions to brokers, unanswered those without an answer in time, and asking the time that
+	// questions is the number of questions to brokers, unanswered those without an answer in time, and askingTime the time that
 	// all of them took.
 	questions, unanswered int
-	asking                time.Duration
+	askingTime            time.Duration
 	sends                 int
 	refusals              int
 	// mayHaveRun is true once an upstream may have run the request.
@@ -277,7 +277,7 @@
 func (c *call) refuse(code proto.Code, reason string) response {
 	c.reason = reason
 	return response{
-		Response: pipe.Response{Status: http.StatusServiceUnavailable}, code: code, retryAfter: max(retryAfter, c.retryAfter),
+		Response: pipe.Response{Status: http.StatusServiceUnavailable}, code: code, retryAfter: max(minRetryAfter, c.retryAfter),
 	}
 }
 
@@ -365,7 +365,7 @@
 	}
 	if c.questions > 0 {
 		attrs = append(attrs, slog.Int("questions", c.questions), slog.Int("unanswered", c.unanswered),
-			slog.Int64("asking_us", c.asking.Microseconds()))
+			slog.Int64("asking_us", c.askingTime.Microseconds()))
 	}
 	if resp.code != "" {
 		attrs = append(attrs, slog.String("code", string(resp.code)), slog.String("reason", c.reason),
--- a/internal/gate/choose.go
+++ b/internal/gate/choose.go
@@ -216,7 +216,7 @@
 	askedAt := c.now()
 	answer, err := c.gate.cfg.Brokers.Ask(ctx, m, q)
 	c.questions++
-	c.asking += c.now() - askedAt
+	c.askingTime += c.now() - askedAt
 	if err != nil {
 		c.unanswered++
 	}
