--- a/internal/assign/assign.go
+++ b/internal/assign/assign.go
@@ -14,8 +14,10 @@
 )
 
 const (
-	// serviceTimeWeight is the weight of one response in the moving average of a service time.
-	serviceTimeWeight = 0.1
+	// upstreamTimeWeight and serviceTimeWeight are the weights of one response in the moving averages of the service times of
+	// an upstream and of a service.
+	upstreamTimeWeight = 0.1
+	serviceTimeWeight  = 0.01
 	// maxObservationRatio limits one observed service time, in multiples of the average.
 	maxObservationRatio = 4.0
 	// similarTimeRatio is the ratio of expected durations up to which a host may prefer an upstream to the fastest one.
@@ -35,18 +37,8 @@
 	spareShare = 0.5
 	// timeoutShare is the share of the time left that the expected duration may take in any case.
 	timeoutShare = 0.9
-	// failuresToEject is the number of consecutive failures after which an upstream is ejected: it gets no requests for a
-	// while.
-	failuresToEject = 3
-	// failureRateLimit is the failure rate above which an upstream is ejected.
-	failureRateLimit  = 0.4
-	failureRateWeight = 0.1
 	// unusedRateWeight is the weight of one request in the average share of requests without a response.
 	unusedRateWeight = 0.1
-	minEjection      = 500 * time.Millisecond
-	maxEjection      = 4 * time.Second
-	// maxEjectedDivisor limits the ejected upstreams of a service to a third of those assigned here.
-	maxEjectedDivisor = 3
 	// fullRatio is the number of requests in flight per slot from which a refusal is put down to a full queue.
 	fullRatio = 3
 	// refusalPause is how long an upstream gets no requests after it refused one for lack of capacity.
@@ -59,6 +51,8 @@
 	stallMargin = 150 * time.Millisecond
 )
 
+var ejectionRule = EjectionRule{RateLimit: 0.4, RateWeight: 0.1}
+
 // Result is what a request shows about its upstream.
 type Result uint8
 
@@ -120,13 +114,10 @@
 	// unusedRate is the average share of requests that ended without a response.
 	unusedRate float64
 	// refusals is the decayed number of requests that were refused until refusedAt.
-	refusals            float64
-	refusedAt           time.Duration
-	consecutiveFailures int
-	failureRate         float64
-	ejections           int
-	ejectedUntil        time.Duration
-	pausedUntil         time.Duration
+	refusals    float64
+	refusedAt   time.Duration
+	failures    Failures
+	pausedUntil time.Duration
 }
 
 // assignment is a request in flight.
@@ -169,7 +160,7 @@
 	for i, u := range candidates {
 		l := a.loadOf(u)
 		times[i] = math.Inf(1)
-		if now < l.pausedUntil || (ejectionsApply && now < l.ejectedUntil) || a.stalled(now, u, l) {
+		if now < l.pausedUntil || (ejectionsApply && l.failures.Ejected(now)) || a.stalled(now, u, l) {
 			continue
 		}
 		// A request that is not run has to be sent elsewhere or fails, which costs about the time that it had.
@@ -202,9 +193,8 @@
 func (a *Assigner) Admit(now time.Duration, r Request, owner model.Upstream) Decision {
 	l := a.loadOf(owner)
 	switch {
-	case now < l.ejectedUntil && l.consecutiveFailures >= failuresToEject:
-		// There is no alternative to an owner that fails only some requests.
-		return a.refuse(l.ejectedUntil - now)
+	case l.failures.EjectedAsOwner(now):
+		return a.refuse(l.failures.ejectedUntil - now)
 	case now < l.pausedUntil:
 		return a.refuse(l.pausedUntil - now)
 	case a.stalled(now, owner, l):
@@ -216,7 +206,8 @@
 // admit assigns the request to the upstream if a slot is free or the response would be on time.
 func (a *Assigner) admit(now time.Duration, r Request, u model.Upstream) Decision {
 	l := a.loadOf(u)
-	expected := a.expectedTime(u, l)
+	ratio, serviceTime := waitRatio(l.inFlight, l.slots), a.serviceTime(u, l)
+	expected := ratio * serviceTime
 	share := burstShare
 	switch {
 	case r.MayMove:
@@ -230,7 +221,7 @@
 		if !r.MayMove {
 			l.countRefusal(now)
 		}
-		return a.refuse(seconds(expected - limit + l.refusals*a.serviceTime(u, l)/float64(l.slots)))
+		return a.refuse(seconds(expected - limit + l.refusals*serviceTime/float64(l.slots)))
 	}
 	if l.inFlight == 0 {
 		l.progressAt = now
@@ -240,9 +231,7 @@
 	}
 	l.inFlight++
 	a.stats.Granted++
-	a.inFlight[r.ID] = assignment{
-		upstream: u, sentAt: now, endsAt: now + r.Timeout, waitRatio: expected / a.serviceTime(u, l),
-	}
+	a.inFlight[r.ID] = assignment{upstream: u, sentAt: now, endsAt: now + r.Timeout, waitRatio: ratio}
 	return Decision{Upstream: u}
 }
 
@@ -285,11 +274,11 @@
 func (a *Assigner) ejectionsApply(now time.Duration, candidates []model.Upstream) bool {
 	n := 0
 	for _, u := range candidates {
-		if now < a.loadOf(u).ejectedUntil {
+		if a.loadOf(u).failures.Ejected(now) {
 			n++
 		}
 	}
-	return n <= max(1, len(candidates)/maxEjectedDivisor)
+	return EjectionsApply(n, len(candidates))
 }
 
 // Done records the end of an assigned request. elapsed is the time from its sending. A request that is not known, for
@@ -309,8 +298,8 @@
 	switch r {
 	case ResultSuccess:
 		a.observe(s, l, elapsed)
-		l.progressAt, l.consecutiveFailures = now, 0
-		l.failureRate *= 1 - failureRateWeight
+		l.progressAt = now
+		l.failures.Succeed(ejectionRule)
 	case ResultFailed:
 		l.progressAt = now
 		a.fail(now, l)
@@ -328,7 +317,7 @@
 		l.progressAt = now
 		l.pauseIfFull(now)
 	case ResultMisdirected:
-		l.ejectedUntil = now + maxEjection
+		l.failures.Eject(now)
 	case ResultNeutral:
 	}
 }
@@ -362,25 +351,19 @@
 func (a *Assigner) observe(s assignment, l *load, elapsed time.Duration) {
 	observed := elapsed.Seconds() / s.waitRatio
 	known := a.serviceTime(s.upstream, l)
-	l.serviceTime = known + (min(observed, maxObservationRatio*known)-known)*serviceTimeWeight
+	l.serviceTime = known + (min(observed, maxObservationRatio*known)-known)*upstreamTimeWeight
 	service := a.serviceTimes[s.upstream.Service]
 	if service == 0 {
 		service = observed
 	}
 	a.serviceTimes[s.upstream.Service] = service +
-		(min(observed, maxObservationRatio*service)-service)*serviceTimeWeight/10
+		(min(observed, maxObservationRatio*service)-service)*serviceTimeWeight
 }
 
 func (a *Assigner) fail(now time.Duration, l *load) {
-	l.consecutiveFailures++
-	l.failureRate += (1 - l.failureRate) * failureRateWeight
-	if (l.consecutiveFailures < failuresToEject && l.failureRate <= failureRateLimit) || now < l.ejectedUntil {
-		return
+	if l.failures.Fail(now, ejectionRule) {
+		a.stats.Ejections++
 	}
-	l.ejectedUntil = now + min(maxEjection, minEjection<<min(l.ejections, 4))
-	l.ejections++
-	a.stats.Ejections++
-	l.failureRate = failureRateLimit / 2
 }
 
 // Sweep drops requests whose time is over, since the message about their end may have been lost, and the load of upstreams
--- a/internal/broker/client.go
+++ b/internal/broker/client.go
@@ -147,18 +147,37 @@
 	return silent < minBrokersToConclude || !anyLocal
 }
 
-// Ask requests an upstream from the broker.
-func (c *Client) Ask(ctx context.Context, broker netip.AddrPort, q Query) (Answer, error) {
-	if !c.Available(broker) {
-		return Answer{}, ErrNoAnswer
-	}
+// expectAnswer returns the number of a new question and the channel of its answer, until forget is called.
+func (c *Client) expectAnswer() (uint64, <-chan answer) {
 	answers := make(chan answer, 1)
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.sequence++
-	sequence := c.sequence
-	c.pending[sequence] = answers
-	c.stats.Asked++
+	c.pending[c.sequence] = answers
+	return c.sequence, answers
+}
+
+// forget ends the wait for an answer and reports whether there was none yet.
+func (c *Client) forget(sequence uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, unanswered := c.pending[sequence]
+	delete(c.pending, sequence)
+	return unanswered
+}
+
+// Ask requests an upstream from the broker.
+func (c *Client) Ask(ctx context.Context, broker netip.AddrPort, q Query) (Answer, error) {
+	c.mu.Lock()
+	available := c.available(broker)
+	if available {
+		c.stats.Asked++
+	}
 	c.mu.Unlock()
+	if !available {
+		return Answer{}, ErrNoAnswer
+	}
+	sequence, answers := c.expectAnswer()
 	m := ask{
 		Service: hashName(q.Service), ObjectiveMs: milliseconds(q.Objective), TimeoutMs: milliseconds(q.Timeout),
 		MayMove: q.MayMove,
@@ -187,9 +206,7 @@
 		c.miss(broker)
 	case <-ctx.Done():
 	}
-	c.mu.Lock()
-	delete(c.pending, sequence)
-	c.mu.Unlock()
+	c.forget(sequence)
 	// The broker may have assigned an upstream.
 	c.Done(ticket, assign.ResultNeutral, 0)
 	return Answer{}, ErrNoAnswer
@@ -233,18 +250,10 @@
 // probe sends datagrams that only ask for a sign of life.
 func (c *Client) probe(broker netip.AddrPort) {
 	for range missesToSuspect {
-		c.mu.Lock()
-		c.sequence++
-		sequence := c.sequence
-		c.pending[sequence] = make(chan answer, 1)
-		c.mu.Unlock()
+		sequence, _ := c.expectAnswer()
 		c.cfg.Send(encode(c.token, kindPing, sequence, done{}), broker)
 		time.AfterFunc(answerTimeout, func() {
-			c.mu.Lock()
-			_, unanswered := c.pending[sequence]
-			delete(c.pending, sequence)
-			c.mu.Unlock()
-			if unanswered {
+			if c.forget(sequence) {
 				c.recordMiss(broker)
 			}
 		})
--- a/internal/broker/member.go
+++ b/internal/broker/member.go
@@ -6,10 +6,10 @@
 
 import (
 	"net/netip"
+	"slices"
 
 	"baobabreach/internal/model"
-
-	"github.com/cespare/xxhash/v2"
+	"baobabreach/internal/route"
 )
 
 // Member is a replica that acts as a broker.
@@ -21,16 +21,14 @@
 // Responsible returns the broker of an upstream: one of its data centre, or any if there is none. It returns false without
 // members. The choice changes only for upstreams of a member that is added or removed.
 func Responsible(members []Member, u model.Upstream) (Member, bool) {
+	hasLocal := slices.ContainsFunc(members, func(m Member) bool { return m.DataCentre == u.DataCentre })
 	best, bestScore, found := Member{}, uint64(0), false
-	local := false
 	for _, m := range members {
-		isLocal := m.DataCentre == u.DataCentre
-		if local && !isLocal {
+		if hasLocal && m.DataCentre != u.DataCentre {
 			continue
 		}
-		score := xxhash.Sum64String(u.Name + "\x00" + m.Address.String())
-		if !found || (isLocal && !local) || score > bestScore {
-			best, bestScore, found, local = m, score, true, isLocal
+		if score := route.RendezvousScore(u.Name, m.Address.String()); !found || score > bestScore {
+			best, bestScore, found = m, score, true
 		}
 	}
 	return best, found
--- a/internal/daemon/directory.go
+++ b/internal/daemon/directory.go
@@ -33,10 +33,8 @@
 	mu sync.Mutex
 	// seeds holds the seed addresses of the current settings, which may be reloaded.
 	seeds []string
-	// members holds the addresses of the members as last reported by a replica.
-	members []string
-	// brokerMembers holds the same members as brokers.
-	brokerMembers []broker.Member
+	// members holds the members as last reported by a replica.
+	members []broker.Member
 	// lastLeaderAt is when the local replica last knew a leader, or when refresh first checked for one.
 	lastLeaderAt time.Time
 }
@@ -77,15 +75,16 @@
 func (d *replicaDirectory) candidates() []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var local []string
-	for _, m := range d.brokerMembers {
+	var local, all []string
+	for _, m := range d.members {
+		all = append(all, m.Address.String())
 		if m.DataCentre == d.cfg.DataCentre {
 			local = append(local, m.Address.String())
 		}
 	}
 	rand.Shuffle(len(local), func(i, j int) { local[i], local[j] = local[j], local[i] })
 	out := []string{}
-	for _, a := range slices.Concat(local, []string{d.leader.Leader()}, d.members, d.seeds) {
+	for _, a := range slices.Concat(local, []string{d.leader.Leader()}, all, d.seeds) {
 		if !slices.Contains(out, a) {
 			out = append(out, a)
 		}
@@ -97,7 +96,7 @@
 func (d *replicaDirectory) brokers() []broker.Member {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.brokerMembers
+	return d.members
 }
 
 func (d *replicaDirectory) setSeeds(seeds []string) {
@@ -110,23 +109,23 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var addresses []string
-	var brokers []broker.Member
+	var current []broker.Member
 	for _, m := range members.All() {
-		if slices.Contains(addresses, m.Address) {
+		// The settings allow an address only in this form.
+		a, err := netip.ParseAddrPort(m.Address)
+		if err != nil || slices.Contains(addresses, m.Address) {
 			continue
 		}
 		addresses = append(addresses, m.Address)
-		if a, err := netip.ParseAddrPort(m.Address); err == nil {
-			brokers = append(brokers, broker.Member{Address: a, DataCentre: m.DataCentre})
-		}
+		current = append(current, broker.Member{Address: a, DataCentre: m.DataCentre})
 	}
-	if len(addresses) == 0 {
+	if len(current) == 0 {
 		return
 	}
-	if !slices.Equal(addresses, d.members) {
+	if !slices.Equal(current, d.members) {
 		d.log.Info("replicas changed", "addresses", addresses)
 	}
-	d.members, d.brokerMembers = addresses, brokers
+	d.members = current
 	for _, s := range d.seeds {
 		if !slices.Contains(addresses, s) {
 			addresses = append(addresses, s)
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -162,11 +162,12 @@
 // runUnkeyed handles a request that any upstream of the service may run.
 func (c *call) runUnkeyed(ctx context.Context, r *http.Request) response {
 	for {
-		chosen, refused := c.chooseUpstream(ctx)
-		if refused != nil {
-			if refused.overloaded {
-				return c.giveUp(ctx, proto.CodeOverloaded, "all upstreams that were considered are busy")
-			}
+		chosen, admission := c.chooseUpstream(ctx)
+		switch admission {
+		case AdmissionGranted:
+		case AdmissionQueueFull:
+			return c.giveUp(ctx, proto.CodeOverloaded, "all upstreams that were considered are busy")
+		default:
 			return c.giveUp(ctx, proto.CodeNoUpstream, "no upstream is left to try")
 		}
 		resp, failure := c.send(ctx, r, chosen)
--- a/internal/gate/choose.go
+++ b/internal/gate/choose.go
@@ -143,27 +143,9 @@
 	ticket   broker.Ticket
 }
 
-// refusal is the reason why no upstream was chosen.
-type refusal struct {
-	// overloaded is true if all upstreams that were considered have too many requests already.
-	overloaded bool
-	// unreachable is true if this host is cut off from the data centre of the owner.
-	unreachable bool
-}
-
-// admission returns the decision on a keyed request that a refusal stands for.
-func (r *refusal) admission() Admission {
-	switch {
-	case r == nil:
-		return AdmissionGranted
-	case r.unreachable:
-		return AdmissionUnreachable
-	}
-	return AdmissionQueueFull
-}
-
-// chooseUpstream picks an upstream for the next attempt and counts the request in flight there.
-func (c *call) chooseUpstream(ctx context.Context) (choice, *refusal) {
+// chooseUpstream picks an upstream for the next attempt. With AdmissionGranted it has counted the request in flight there;
+// AdmissionQueueFull means that all upstreams that were considered are busy, and an empty Admission that there is none.
+func (c *call) chooseUpstream(ctx context.Context) (choice, Admission) {
 	t, _ := c.gate.cfg.View.Table()
 	c.tableVersion = t.Version
 	brokers := c.gate.cfg.Brokers
@@ -175,7 +157,7 @@
 	if len(members) == 0 {
 		return c.pick(upstreams.all)
 	}
-	refused := &refusal{}
+	refused := Admission("")
 	questions := upstreams.questions()
 	for i, g := range questions {
 		q := c.query()
@@ -185,30 +167,30 @@
 		case err != nil:
 			return c.pick(upstreams.all)
 		case !answer.Granted:
-			refused.overloaded, c.retryAfter = true, answer.RetryAfter
+			refused, c.retryAfter = AdmissionQueueFull, answer.RetryAfter
 			continue
 		}
 		if u, ok := answer.Find(g.upstreams); ok && !c.tried[u.Name] {
 			c.gate.cfg.Picker.Begin(u)
-			return choice{upstream: u, ticket: answer.Ticket}, nil
+			return choice{upstream: u, ticket: answer.Ticket}, AdmissionGranted
 		}
 		// The broker has another table than this host.
 		brokers.Done(answer.Ticket, assign.ResultNeutral, 0)
 		return c.pick(upstreams.all)
 	}
-	if refused.overloaded {
+	if refused != "" {
 		return choice{}, refused
 	}
 	return c.pick(upstreams.all)
 }
 
 // pick chooses one of the upstreams by what this host has observed.
-func (c *call) pick(upstreams []model.Upstream) (choice, *refusal) {
+func (c *call) pick(upstreams []model.Upstream) (choice, Admission) {
 	u, ok := c.gate.cfg.Picker.Pick(c.now(), upstreams, c.tried)
 	if !ok {
-		return choice{}, &refusal{}
+		return choice{}, ""
 	}
-	return choice{upstream: u}, nil
+	return choice{upstream: u}, AdmissionGranted
 }
 
 // ask asks a broker and records the time that it took.
@@ -233,34 +215,35 @@
 	return broker.Query{Service: c.service, Objective: objective - now, Timeout: c.deadline - now, Tried: c.tried}
 }
 
-// askForOwner asks the broker of the owner of a key whether the owner has room. ok is false if there was no answer.
-func (c *call) askForOwner(ctx context.Context, owner model.Upstream) (chosen choice, refused *refusal, ok bool) {
+// askForOwner asks the broker of the owner of a key whether the owner has room. The Admission is empty if there was no
+// answer.
+func (c *call) askForOwner(ctx context.Context, owner model.Upstream) (choice, Admission) {
 	brokers := c.gate.cfg.Brokers
 	if brokers == nil {
-		return choice{}, nil, false
+		return choice{}, ""
 	}
 	m, ok := broker.Responsible(brokers.Members(), owner)
 	if !ok {
-		return choice{}, nil, false
+		return choice{}, ""
 	}
 	q := c.query()
 	q.Owner = owner.Name
 	answer, err := c.ask(ctx, m, q)
 	switch {
 	case err != nil && !brokers.Reachable(owner.DataCentre):
-		return choice{}, &refusal{unreachable: true}, true
+		return choice{}, AdmissionUnreachable
 	case err != nil:
-		return choice{}, nil, false
+		return choice{}, ""
 	case !answer.Granted:
 		c.retryAfter = answer.RetryAfter
-		return choice{}, &refusal{overloaded: true}, true
+		return choice{}, AdmissionQueueFull
 	}
 	if _, found := answer.Find([]model.Upstream{owner}); !found {
 		brokers.Done(answer.Ticket, assign.ResultNeutral, 0)
-		return choice{}, nil, false
+		return choice{}, ""
 	}
 	c.gate.cfg.Picker.Begin(owner)
-	return choice{upstream: owner, ticket: answer.Ticket}, nil, true
+	return choice{upstream: owner, ticket: answer.Ticket}, AdmissionGranted
 }
 
 // endAttempt reports the end of an attempt to the picker and to the broker that assigned it.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -4,7 +4,6 @@
 
 import (
 	"log/slog"
-	"math"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -79,10 +78,13 @@
 	for _, s := range r.Services {
 		largest = max(largest, s.Weight)
 	}
+	if largest == 0 {
+		return "", false
+	}
 	total := 0.0
 	for _, s := range r.Services {
 		// Dividing by the largest weight keeps the sum finite.
-		total += s.Weight / max(largest, math.SmallestNonzeroFloat64)
+		total += s.Weight / largest
 	}
 	chosen := ""
 	point *= total
@@ -96,7 +98,7 @@
 			break
 		}
 	}
-	return chosen, chosen != ""
+	return chosen, true
 }
 
 // hostCount returns the number of entry hosts that share the limits.
--- a/internal/gate/keyed.go
+++ b/internal/gate/keyed.go
@@ -91,8 +91,8 @@
 			c.rangeFirst, c.rangeLast = target.Assignment.First/model.OrderedSpan, target.Assignment.Last/model.OrderedSpan
 			c.rangeEpoch = target.Assignment.Epoch
 			if waitingFor.Name == "" {
-				if chosen, refused, ok := c.askForOwner(ctx, target.Upstream); ok {
-					return target, changed, refused.admission(), chosen
+				if chosen, decided := c.askForOwner(ctx, target.Upstream); decided != "" {
+					return target, changed, decided, chosen
 				}
 			}
 			admission = c.gate.cfg.Picker.Acquire(c.now(), target.Upstream, waitingFor.Name != "")
--- a/internal/gate/pick.go
+++ b/internal/gate/pick.go
@@ -14,16 +14,6 @@
 	latencyWeight = 0.15
 	// remotePenalty is the cost of another data centre, in requests in flight. Traffic between data centres is billed.
 	remotePenalty = 1.0
-	// failuresToEject is the number of consecutive failures after which an upstream is ejected: it gets no requests for a
-	// while.
-	failuresToEject = 3
-	// failureRateLimit is the failure rate above which an upstream is ejected.
-	failureRateLimit  = 0.35
-	failureRateWeight = 0.12
-	minEjection       = 500 * time.Millisecond
-	maxEjection       = 4 * time.Second
-	// maxEjectedDivisor limits the ejected upstreams of a service to a third.
-	maxEjectedDivisor = 3
 	// refusalPause is how long an upstream is avoided after it refused a request for lack of capacity.
 	refusalPause = 60 * time.Millisecond
 	// resetGracePeriod is the time after a complete response in which a reset connection is put down to overload.
@@ -32,16 +22,15 @@
 	maxLatencyFactor = 8.0
 )
 
+var ejectionRule = assign.EjectionRule{RateLimit: 0.35, RateWeight: 0.12}
+
 // health is what this host has observed of one process of an upstream.
 type health struct {
-	incarnation         uint64
-	inFlight            int
-	latency             float64
-	consecutiveFailures int
-	failureRate         float64
-	ejections           int
-	ejectedUntil        time.Duration
-	pausedUntil         time.Duration
+	incarnation uint64
+	inFlight    int
+	latency     float64
+	failures    assign.Failures
+	pausedUntil time.Duration
 	// respondedAt is the time of the last complete response.
 	respondedAt time.Duration
 	// hotUntil, waiting and latencyRatio are used only for owners of keys.
@@ -114,7 +103,7 @@
 	if now < h.pausedUntil {
 		s += 10
 	}
-	if now < h.ejectedUntil && ejectionsApply {
+	if h.failures.Ejected(now) && ejectionsApply {
 		s += 1000
 	}
 	return s
@@ -124,11 +113,11 @@
 func (p *Picker) ejectionsApply(now time.Duration, upstreams []model.Upstream) bool {
 	n := 0
 	for _, u := range upstreams {
-		if now < p.healthOf(u).ejectedUntil {
+		if p.healthOf(u).failures.Ejected(now) {
 			n++
 		}
 	}
-	return n <= max(1, len(upstreams)/maxEjectedDivisor)
+	return assign.EjectionsApply(n, len(upstreams))
 }
 
 func (p *Picker) meanLatency(upstreams []model.Upstream) float64 {
@@ -183,8 +172,7 @@
 		limit = hotInFlightLimit
 	}
 	switch {
-	case now < h.ejectedUntil && h.consecutiveFailures >= failuresToEject:
-		// There is no alternative to an owner that fails only some requests.
+	case h.failures.EjectedAsOwner(now):
 		return AdmissionEjected
 	case h.inFlight < limit:
 		if waiting {
@@ -240,7 +228,7 @@
 			h.latency = elapsed.Seconds()
 		}
 		h.latency += (elapsed.Seconds() - h.latency) * latencyWeight
-		h.consecutiveFailures, h.failureRate = 0, h.failureRate*(1-failureRateWeight)
+		h.failures.Succeed(ejectionRule)
 		h.respondedAt = now
 	case assign.ResultFailed:
 		p.fail(now, h)
@@ -260,22 +248,16 @@
 		h.pausedUntil = now + refusalPause
 		h.hotUntil = now + hotDuration
 	case assign.ResultMisdirected:
-		h.ejectedUntil = now + maxEjection
+		h.failures.Eject(now)
 	case assign.ResultNeutral:
 	}
 }
 
-// fail records a failure of an upstream and ejects it after too many.
+// fail records a failure of an upstream and counts its ejection.
 func (p *Picker) fail(now time.Duration, h *health) {
-	h.consecutiveFailures++
-	h.failureRate += (1 - h.failureRate) * failureRateWeight
-	if (h.consecutiveFailures < failuresToEject && h.failureRate <= failureRateLimit) || now < h.ejectedUntil {
-		return
+	if h.failures.Fail(now, ejectionRule) {
+		p.ejections++
 	}
-	h.ejectedUntil = now + min(maxEjection, minEjection<<min(h.ejections, 4))
-	h.ejections++
-	p.ejections++
-	h.failureRate = failureRateLimit / 2
 }
 
 // PickerStats are the metrics of a Picker, summed over all upstreams.
@@ -293,7 +275,7 @@
 	defer p.mu.Unlock()
 	s := PickerStats{Ejections: p.ejections}
 	for _, h := range p.health {
-		if now < h.ejectedUntil {
+		if h.failures.Ejected(now) {
 			s.Ejected++
 		}
 		s.InFlight += int64(h.inFlight)
--- a/internal/raft/replace.go
+++ b/internal/raft/replace.go
@@ -45,12 +45,12 @@
 // surplusVoter returns the index of the voter to remove if there are more than the target: the lost one, or else one of
 // the data centre with the most voters. It returns -1 if there is none.
 func (m Members) surplusVoter(r Replacement, lost int) int {
-	if len(m.Voters) <= r.TargetVoters || lost >= 0 {
-		if len(m.Voters) > r.TargetVoters {
-			return lost
-		}
+	if len(m.Voters) <= r.TargetVoters {
 		return -1
 	}
+	if lost >= 0 {
+		return lost
+	}
 	crowded := -1
 	for i, v := range m.Voters {
 		if v.ID != r.Leader && (crowded < 0 || m.votersIn(v.DataCentre) > m.votersIn(m.Voters[crowded].DataCentre)) {
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -5,6 +5,8 @@
 	"slices"
 
 	"baobabreach/internal/model"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Daemon is a live daemon of the fleet, with its control address and its address for callers.
@@ -91,3 +93,6 @@
 	})
 	return out
 }
+
+// RendezvousScore orders hosts by rendezvous hashing: the host with the highest score for a name is responsible for it.
+func RendezvousScore(name, host string) uint64 { return xxhash.Sum64String(name + "\x00" + host) }
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -291,7 +291,7 @@
 			}
 			return 1
 		}
-		return cmp.Compare(rendezvousScore(a.key(), s.host), rendezvousScore(b.key(), s.host))
+		return cmp.Compare(route.RendezvousScore(a.key(), s.host), route.RendezvousScore(b.key(), s.host))
 	})
 	return out
 }
@@ -316,9 +316,6 @@
 	}
 }
 
-// rendezvousScore orders hosts by rendezvous hashing: those with the highest scores for a pool run its dispatchers.
-func rendezvousScore(pool, host string) uint64 { return xxhash.Sum64String(pool + "\x00" + host) }
-
 // dispatchers returns up to maxDispatchers daemons of the pool's data centre in rendezvous order, without lost and suspect
 // ones.
 func (s *Slots) dispatchers(id poolID) []route.Daemon {
@@ -334,7 +331,7 @@
 	s.mu.Unlock()
 	key := id.key()
 	slices.SortFunc(out, func(a, b route.Daemon) int {
-		return cmp.Compare(rendezvousScore(key, b.Host), rendezvousScore(key, a.Host))
+		return cmp.Compare(route.RendezvousScore(key, b.Host), route.RendezvousScore(key, a.Host))
 	})
 	return out[:min(len(out), maxDispatchers)]
 }
