Log the content of requests whose connection broke, and whether the upstream ended

Each broken connection is now logged with fingerprints of the content, equal on all hosts, and the result of a connection opened at once; the metric upstream.broken_connections counts them. No decision depends on either yet.

--- a/internal/daemon/gauges.go
+++ b/internal/daemon/gauges.go
@@ -48,6 +48,7 @@
 		p.Metrics.SetGauge("upstream.stale_connections", s.StaleIdle)
 		p.Metrics.SetGauge("upstream.crossed_answers", s.MismatchedResponses)
 		p.Metrics.SetGauge("upstream.oversized_answers", s.OversizedResponses)
+		p.Metrics.SetGauge("upstream.broken_connections", s.Broken)
 		g := p.Gate.Stats()
 		p.Metrics.SetGauge("upstream.ejected", g.Ejected)
 		p.Metrics.SetGauge("upstream.ejections", g.Ejections)
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -40,7 +40,11 @@
 	deadline time.Duration
 	route    model.Route
 	service  string
-	body     []byte
+	// method, host and target are those of the request.
+	method, host, target string
+	body                 []byte
+	// contents holds the fingerprints of the content once they have been needed.
+	contents []string
 	// tableVersion is the version of the routing table that the last attempt used.
 	tableVersion uint64
 	upstream     string
@@ -212,6 +216,9 @@
 	case pipe.StageNotSent:
 		c.tried[u.Name] = true
 	}
+	if failure.Broken {
+		c.investigate(u, failure.Error())
+	}
 	c.recordFailedAttempt(u.Name + " " + string(failure.Stage) + ": " + failure.Error())
 	return nil, failure
 }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -146,7 +146,10 @@
 
 // ServeHTTP handles one caller request.
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := &call{gate: g, started: g.cfg.Clock(), id: r.Header.Get(g.cfg.Names.RequestID), tried: map[string]bool{}}
+	c := &call{
+		gate: g, started: g.cfg.Clock(), id: r.Header.Get(g.cfg.Names.RequestID), tried: map[string]bool{},
+		method: r.Method, host: r.Host, target: r.RequestURI,
+	}
 	ctx, cancel := c.withCallerDeadline(r)
 	defer cancel()
 	resp := c.run(ctx, r)
--- a/internal/pipe/conn.go
+++ b/internal/pipe/conn.go
@@ -117,3 +117,29 @@
 	}
 	return newConn(c), nil
 }
+
+// Liveness is what a connection attempt shows about the process at an address.
+type Liveness string
+
+const (
+	// LivenessListening means that a process accepts connections at the address.
+	LivenessListening Liveness = "listening"
+	// LivenessRefused means that no process listens at the address.
+	LivenessRefused Liveness = "refused"
+	// LivenessUnknown means that there was no answer in time.
+	LivenessUnknown Liveness = "unknown"
+)
+
+// Probe opens a connection to the address, to find out whether a process listens there, and keeps it for later requests.
+func (p *Pool) Probe(ctx context.Context, address string) Liveness {
+	c, err := p.dial(ctx, address)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return LivenessRefused
+	case err != nil:
+		return LivenessUnknown
+	}
+	c.idleDeadline = p.cfg.Now() + defaultIdleTimeout
+	p.putIdle(address, c)
+	return LivenessListening
+}
--- a/internal/pipe/pipe.go
+++ b/internal/pipe/pipe.go
@@ -86,7 +86,10 @@
 	Reason string
 	// ConnFailed is true if the connection failed, and false if the request timed out or the caller disconnected.
 	ConnFailed bool
-	Err        error
+	// Broken is true if the connection ended after the request was sent and before its response was complete. Either the
+	// upstream has ended while it ran the request, or only the connection has.
+	Broken bool
+	Err    error
 }
 
 // Error returns Reason and, if it is set, Err.
@@ -106,9 +109,10 @@
 func (f *Failure) Unwrap() error { return f.Err }
 
 // Stats counts dialled connections, reused connections, idle connections that were no longer usable, responses that
-// belonged to another request, and responses whose head or body exceeded its limit.
+// belonged to another request, responses whose head or body exceeded its limit, and connections that ended before a
+// response was complete.
 type Stats struct {
-	Dials, Reuses, StaleIdle, MismatchedResponses, OversizedResponses int64
+	Dials, Reuses, StaleIdle, MismatchedResponses, OversizedResponses, Broken int64
 }
 
 // Pool holds the connections of one host to all upstreams. It is safe for concurrent use.
--- a/internal/pipe/pipe_test.go
+++ b/internal/pipe/pipe_test.go
@@ -308,3 +308,14 @@
 	is.True(f == nil)
 	is.Equal(acceptedConns.Load(), int64(2))
 }
+
+// Guards against a live upstream that is taken for one that ended, and the other way round.
+func TestProbeTellsWhetherAProcessListens(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	p := newPool()
+	is.Equal(p.Probe(t.Context(), l.Addr().String()), pipe.LivenessListening)
+	_ = l.Close()
+	is.Equal(p.Probe(t.Context(), l.Addr().String()), pipe.LivenessRefused)
+}
--- a/internal/pipe/send.go
+++ b/internal/pipe/send.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 
 	"github.com/go-faster/errors"
 )
@@ -40,7 +41,10 @@
 		p.putIdle(req.Address, c)
 	}
 	if failure != nil && ctx.Err() != nil {
-		failure.ConnFailed, failure.Err = false, context.Cause(ctx)
+		failure.ConnFailed, failure.Broken, failure.Err = false, false, context.Cause(ctx)
+	}
+	if failure != nil && failure.Broken {
+		p.updateStats(func(s *Stats) { s.Broken++ })
 	}
 	return resp, failure
 }
@@ -106,7 +110,13 @@
 }
 
 func unknownFailure(reason string, err error) *Failure {
-	return &Failure{Stage: StageUnknown, Reason: reason, ConnFailed: true, Err: err}
+	return &Failure{Stage: StageUnknown, Reason: reason, ConnFailed: true, Broken: isConnectionEnd(err), Err: err}
+}
+
+// isConnectionEnd reports whether a read failed because the peer closed or reset the connection.
+func isConnectionEnd(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) ||
+		errors.Is(err, syscall.EPIPE)
 }
 
 func (p *Pool) readResponse(c *conn, req Request) (*Response, bool, *Failure) {
