--- /dev/null
+++ b/internal/soak/crash.go
@@ -0,0 +1,181 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	// crashTarget is the path of the requests that crash the upstreams of orders. Each upstream returns crashDowntime later
+	// at its address, with a new ID.
+	crashTarget   = "/crash"
+	crashDowntime = 2 * time.Second
+	// crashInterval is the time between two of these requests, which go to one entry host after the other.
+	crashInterval = 300 * time.Millisecond
+	// stableWindow is how long after the third crash the fleet may take to stop the request.
+	stableWindow = 3 * time.Second
+	// crashesBeforeStop is the number of crashes after which the fleet must know the request, and maxLateCrashes how often it
+	// may still reach an upstream later than stableWindow after that.
+	crashesBeforeStop = 3
+	maxLateCrashes    = 3
+	crashTestOrders   = 12
+)
+
+// CrashConfig selects the request that crashes upstreams.
+type CrashConfig struct {
+	Name string
+	// Method and Service select the route: GET is idempotent; POST is not.
+	Method, Service string
+	// Duration is how long the request is repeated.
+	Duration time.Duration
+	// Disturb is called halfway, or not at all if it is nil.
+	Disturb func(r *Run) error
+}
+
+// crashRecorder counts the crashes that one request caused.
+type crashRecorder struct {
+	mu    sync.Mutex
+	times []time.Time
+}
+
+func (r *crashRecorder) record() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.times = append(r.times, time.Now())
+}
+
+// counts returns all crashes and those later than stableWindow after the third.
+func (r *crashRecorder) counts() (all, late int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, t := range r.times {
+		if len(r.times) >= crashesBeforeStop && t.After(r.times[crashesBeforeStop-1].Add(stableWindow)) {
+			late++
+		}
+	}
+	return len(r.times), late
+}
+
+// RunCrashingRequest repeats a request that crashes each upstream that runs it, beside harmless requests to the same and
+// other services. It is a violation if the request still reaches upstreams once the fleet had time to stop it.
+func RunCrashingRequest(cfg Config, crash CrashConfig) (*Run, []string, error) {
+	r := newRun(cfg, 1)
+	recorder := &crashRecorder{}
+	return r.run(func(ctx context.Context) error {
+		r.group.SetCrash(recorder.crash)
+		for range crashTestOrders - orderUpstreams {
+			if err := r.startUpstream(false); err != nil {
+				return err
+			}
+		}
+		time.Sleep(2 * heartbeatInterval)
+		c := &http.Client{Timeout: 3 * time.Second}
+		disturbed := crash.Disturb == nil
+		for i, startedAt := 0, time.Now(); time.Since(startedAt) < crash.Duration; i++ {
+			if !disturbed && time.Since(startedAt) > crash.Duration/2 {
+				disturbed = true
+				if err := crash.Disturb(r); err != nil {
+					return err
+				}
+			}
+			hosts := r.fleet.EntryHosts()
+			status := r.sendCrashing(ctx, c, hosts[i%len(hosts)], crash, fmt.Sprintf("crash-%d", i))
+			r.recordEvent("crashing request %d to %s: %d", i, hosts[i%len(hosts)].Name, status)
+			time.Sleep(crashInterval)
+		}
+		all, late := recorder.counts()
+		answered, failed := r.checker.Counts()
+		r.recordEvent("%d crashes, %d of them late; of the harmless requests %d answered, %d failed", all, late, answered, failed)
+		if all < crashesBeforeStop {
+			r.checker.ReportViolation("the request caused %d crashes only", all)
+		}
+		if late > maxLateCrashes {
+			r.checker.ReportViolation("%d crashes by one request, %d of them later than %v after the third", all, late, stableWindow)
+		}
+		return nil
+	})
+}
+
+// sendCrashing sends the request that crashes upstreams and returns the status of the response, or 0 without one.
+func (r *Run) sendCrashing(ctx context.Context, c *http.Client, h *Host, crash CrashConfig, id string) int {
+	host, path := "a.example", "/o"
+	if crash.Service == "styles" {
+		path = "/s"
+	}
+	if crash.Service == "orders" && crash.Method == http.MethodGet {
+		host, path = "b.example", fmt.Sprintf("/v%d", r.operator.version)
+	}
+	url := "http://" + h.CallerAddress() + path + crashTarget
+	req, err := http.NewRequestWithContext(ctx, crash.Method, url, strings.NewReader("crash"))
+	if err != nil {
+		return 0
+	}
+	req.GetBody = nil
+	req.Host = host
+	req.Header.Set("Attempt-Id", id)
+	req.Header.Set("Deadline-Ms", "1500")
+	req.Header.Set("Shard-Key", "1")
+	resp, err := c.Do(req)
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// crash ends an upstream that runs the crashing request and starts its successor at the same address later.
+func (r *crashRecorder) crash(u *Upstream) {
+	r.record()
+	u.Kill()
+	time.AfterFunc(crashDowntime, func() {
+		name, _, _ := strings.Cut(u.id, "_")
+		// An error means that the run has ended.
+		_, _ = u.group.Start(fmt.Sprintf("%s_%d", name, time.Now().UnixMilli()), u.service, u.address, u.address, u.keyed)
+	})
+}
+
+// KillLeader kills the replica that leads and starts it again.
+func (r *Run) KillLeader() error {
+	for _, h := range r.fleet.Hosts[:replicaCount] {
+		if h.leads() {
+			r.recordEvent("kill the leader %s", h.Name)
+			h.Kill()
+			return r.fleet.Start(h)
+		}
+	}
+	return errors.New("no replica leads")
+}
+
+// leads reports whether the replica counts itself as the leader.
+func (h *Host) leads() bool {
+	resp, err := http.Get(fmt.Sprintf("http://%s:%d/metrics", h.daemonIP, portOperator))
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	return err == nil && strings.Contains(string(b), "raft_leader 1")
+}
+
+// RestartReplicas kills all replicas at once and starts them again.
+func (r *Run) RestartReplicas() error { return r.killReplicas() }
+
+// RestartEntryHosts kills one entry host after the other and starts it again.
+func (r *Run) RestartEntryHosts() error {
+	for _, h := range r.fleet.EntryHosts() {
+		r.recordEvent("kill %s", h.Name)
+		h.Kill()
+		if err := r.fleet.Start(h); err != nil {
+			return err
+		}
+		time.Sleep(crashInterval)
+	}
+	return nil
+}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -88,15 +88,11 @@
 	r.fleet = f
 	defer f.Close()
 	r.group = &UpstreamGroup{checker: r.checker, registries: f.Registries(), lastIncarnation: time.Now().UnixMilli()}
+	defer r.group.Close()
 	r.operator = &Operator{registries: f.Registries(), checker: r.checker}
 	if err := r.startFleet(); err != nil {
 		return r, nil, err
 	}
-	defer func() {
-		for _, u := range r.upstreams {
-			u.Kill()
-		}
-	}()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var wg sync.WaitGroup
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -89,6 +90,43 @@
 	}
 }
 
+// Guards against a request that crashes every upstream that runs it and is sent to one upstream after the other: the report
+// of the incident named BUDGET.
+func TestCrashingRequestIsStopped(t *testing.T) {
+	daemonPath := buildDaemon(t)
+	for i, crash := range []soak.CrashConfig{
+		{Name: "idempotent", Method: http.MethodGet, Service: "orders", Duration: 12 * time.Second},
+		{Name: "not idempotent", Method: http.MethodPost, Service: "orders", Duration: 12 * time.Second},
+		{Name: "keyed", Method: http.MethodGet, Service: "styles", Duration: 20 * time.Second},
+		{
+			Name: "leader killed", Method: http.MethodPost, Service: "orders", Duration: 16 * time.Second,
+			Disturb: (*soak.Run).KillLeader,
+		},
+		{
+			Name: "hosts restarted", Method: http.MethodPost, Service: "orders", Duration: 16 * time.Second,
+			Disturb: (*soak.Run).RestartEntryHosts,
+		},
+		{
+			Name: "all replicas killed", Method: http.MethodPost, Service: "orders", Duration: 16 * time.Second,
+			Disturb: (*soak.Run).RestartReplicas,
+		},
+	} {
+		t.Run(crash.Name, func(t *testing.T) {
+			cfg := soak.Config{
+				DaemonPath: daemonPath, Dir: t.TempDir(), LoopbackOctet: 2 + 2*((os.Getpid()+40+i)%120), EntryHosts: 4,
+			}
+			run, violations, err := soak.RunCrashingRequest(cfg, crash)
+			if n := len(run.Events); n > 0 {
+				t.Log(run.Events[n-1])
+			}
+			if err != nil || len(violations) > 0 {
+				t.Errorf("%v\nviolations:\n%s\nevents:\n%s\nlogs in %s", err, strings.Join(violations, "\n"),
+					strings.Join(run.Events, "\n"), keepLogs(t, cfg.Dir))
+			}
+		})
+	}
+}
+
 // keepLogs copies the logs of a failed run to a directory that is not removed after the test.
 func keepLogs(t *testing.T, dir string) string {
 	t.Helper()
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -9,8 +9,11 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 const (
@@ -30,6 +33,27 @@
 	mu              sync.Mutex
 	upstreams       []*Upstream
 	lastIncarnation int64
+	closed          bool
+	// crash is called by upstreams that run a request for crashTarget, unless it is nil.
+	crash func(u *Upstream)
+}
+
+// SetCrash sets the function that upstreams call when they run a request for crashTarget.
+func (g *UpstreamGroup) SetCrash(crash func(u *Upstream)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.crash = crash
+}
+
+// Close kills all upstreams; none can be started any more.
+func (g *UpstreamGroup) Close() {
+	g.mu.Lock()
+	g.closed = true
+	upstreams := g.upstreams
+	g.mu.Unlock()
+	for _, u := range upstreams {
+		u.Kill()
+	}
 }
 
 // Upstream simulates one upstream process.
@@ -62,13 +86,18 @@
 	if err != nil {
 		return nil, err
 	}
+	u := &Upstream{group: g, id: id, service: service, address: announcedAddress, keyed: keyed}
+	u.ctx, u.cancel = context.WithCancel(context.Background())
+	u.server = &http.Server{Handler: u}
 	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed {
+		_ = l.Close()
+		return nil, errors.New("the run has ended")
+	}
 	g.lastIncarnation++
-	u := &Upstream{group: g, id: id, service: service, address: announcedAddress, keyed: keyed, incarnation: g.lastIncarnation}
+	u.incarnation = g.lastIncarnation
 	g.upstreams = append(g.upstreams, u)
-	g.mu.Unlock()
-	u.ctx, u.cancel = context.WithCancel(context.Background())
-	u.server = &http.Server{Handler: u}
 	go func() { _ = u.server.Serve(l) }()
 	go u.reportLoop()
 	return u, nil
@@ -105,6 +134,12 @@
 	return false
 }
 
+func (g *UpstreamGroup) crashFunc() func(u *Upstream) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.crash
+}
+
 // checkExclusive reports a violation if another upstream of the service holds the key too.
 func (g *UpstreamGroup) checkExclusive(u *Upstream, key int) {
 	g.mu.Lock()
@@ -142,6 +177,10 @@
 		u.group.checkExclusive(u, key)
 	}
 	u.group.checker.RecordExecution(id, u.id, r.Method == http.MethodPost)
+	if crash := u.group.crashFunc(); crash != nil && strings.HasSuffix(r.URL.Path, crashTarget) {
+		crash(u)
+		panic(http.ErrAbortHandler)
+	}
 	time.Sleep(serviceTime)
 	w.Header().Set("Response-Signature", u.id)
 	w.Header().Set("Content-Length", strconv.Itoa(len(id)))
