Stop using upstreams that say in their answers that they leave

Cause: only reports could announce a leave; no answer was read for it.

A host now leaves such a process alone: at once, or as the owner of keys for 1.6 s more, until a later incarnation is in the table. It tells the leader, and repeats that until the table shows the leave, so that keys move, other hosts know and the leave is in the log. A 421 says nothing, as another process may have the address.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -148,6 +148,14 @@
 	return struct{}{}, n.ReportRuns(r)
 }
 
+func (c controlAPI) leaving(_ context.Context, processes []owner.Process) (struct{}, error) {
+	n, err := c.replicaNode()
+	if err != nil {
+		return struct{}{}, err
+	}
+	return struct{}{}, n.RecordLeaving(processes)
+}
+
 func (c controlAPI) permit(_ context.Context, q poison.PermitRequest) (poison.PermitResponse, error) {
 	n, err := c.replicaNode()
 	if err != nil {
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -18,6 +18,7 @@
 	"baobabreach/internal/limit"
 	"baobabreach/internal/logs"
 	"baobabreach/internal/metric"
+	"baobabreach/internal/model"
 	"baobabreach/internal/node"
 	"baobabreach/internal/owner"
 	"baobabreach/internal/peer"
@@ -184,18 +185,30 @@
 
 func newGate(
 	cfg config.Config, v *route.View, p *pipe.Pool, now Clock, adapter Adapter, m *metric.Registry, b *brokerSocket,
-	crashes *gate.CrashGuard, log *slog.Logger,
+	crashes *gate.CrashGuard, l *peer.LeaderClient, log *slog.Logger,
 ) *gate.Gate {
 	g := cfg.Gateway
 	return gate.New(gate.Config{
 		Names: adapter.Names, View: v, Pool: p, Picker: gate.NewPicker(cfg.DataCentre, rand.IntN), Clock: now, Metrics: m,
-		Brokers: b.gateBrokers(), DataCentre: cfg.DataCentre, Crashes: crashes,
+		Brokers: b.gateBrokers(), DataCentre: cfg.DataCentre, Crashes: crashes, ReportLeaving: reportLeaving(l),
 		Budget: gate.NewBudget(gate.BudgetConfig{Ratio: g.RetryRatio, Slack: g.RetrySlack, Window: g.RetryWindow}),
 		Log:    logs.ForComponent(log, "gate"), MaxBodyBytes: cfg.MaxBodyBytes,
 		MaxBufferedBytes: int64(maxBufferedShare * float64(g.MemoryMB<<20)),
 	})
 }
 
+// reportLeaving returns a function that tells the leader which upstreams leave.
+func reportLeaving(l *peer.LeaderClient) func(ctx context.Context, upstreams []model.Upstream) error {
+	return func(ctx context.Context, upstreams []model.Upstream) error {
+		var processes []owner.Process
+		for _, u := range upstreams {
+			processes = append(processes, owner.Process{Name: u.Name, Incarnation: u.Incarnation})
+		}
+		_, err := peer.CallLeader[[]owner.Process, struct{}](ctx, l, peer.PathLeaving, renewTimeout, processes)
+		return err
+	}
+}
+
 func newCrashGuard(
 	cfg config.Config, l *peer.LeaderClient, p *pipe.Pool, v *route.View, now Clock, log *slog.Logger,
 ) *gate.CrashGuard {
@@ -218,6 +231,7 @@
 	m.Handle(peer.PathAnnounce, peer.Handle(peer.MaxBodyBytes, r.handleAnnounce)).Methods(http.MethodPost)
 	m.Handle(peer.PathMarkLeaving, peer.Handle(peer.MaxBodyBytes, r.handleMarkLeaving)).Methods(http.MethodPost)
 	m.Handle(peer.PathChange, peer.Handle(peer.MaxRaftBytes, r.handleChange)).Methods(http.MethodPost)
+	m.Handle(peer.PathLeaving, peer.Handle(peer.MaxBodyBytes, c.leaving)).Methods(http.MethodPost)
 	m.Handle(peer.PathRuns, peer.Handle(peer.MaxBodyBytes, c.runs)).Methods(http.MethodPost)
 	m.Handle(peer.PathItems, peer.Handle(peer.MaxBodyBytes, r.handleItems)).Methods(http.MethodPost)
 	return c.mountShared(m)
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -174,6 +174,8 @@
 		case AdmissionGranted:
 		case AdmissionQueueFull:
 			return c.giveUp(ctx, proto.CodeOverloaded, "all upstreams that were considered are busy")
+		case AdmissionTurnedAway:
+			return c.giveUp(ctx, proto.CodeOverloaded, "all upstreams turn requests away or leave")
 		default:
 			return c.giveUp(ctx, proto.CodeNoUpstream, "no upstream is left to try")
 		}
@@ -203,10 +205,12 @@
 	c.endAttempt(chosen, c.attemptResult(ctx, resp, failure), c.now()-now)
 	c.recordRun(ctx, u, now, failure)
 	if failure == nil {
+		c.recordNotice(u, resp.Notice)
 		c.mayHaveRun = true
 		c.tried[u.Name] = true
 		return resp, nil
 	}
+	c.recordNotice(u, failure.Notice)
 	switch failure.Stage {
 	case pipe.StageUnknown:
 		c.mayHaveRun = true
--- a/internal/gate/choose.go
+++ b/internal/gate/choose.go
@@ -154,8 +154,13 @@
 		members = brokers.Members()
 	}
 	upstreams := c.gate.upstreams.get(t, members, c.service, c.gate.cfg.DataCentre)
+	accepting, retryAfter := c.gate.notices.accepting(c.now(), upstreams.all)
+	if len(accepting) == 0 && len(upstreams.all) > 0 {
+		c.retryAfter = retryAfter
+		return choice{}, AdmissionTurnedAway
+	}
 	if len(members) == 0 {
-		return c.pick(upstreams.all)
+		return c.pick(accepting)
 	}
 	refused := Admission("")
 	questions := upstreams.questions()
@@ -165,23 +170,23 @@
 		answer, err := c.ask(ctx, g.broker, q)
 		switch {
 		case err != nil:
-			return c.pick(upstreams.all)
+			return c.pick(accepting)
 		case !answer.Granted:
 			refused, c.retryAfter = AdmissionQueueFull, answer.RetryAfter
 			continue
 		}
-		if u, ok := answer.Find(g.upstreams); ok && !c.tried[u.Name] {
+		if u, ok := answer.Find(accepting); ok && !c.tried[u.Name] {
 			c.gate.cfg.Picker.Begin(u)
 			return choice{upstream: u, ticket: answer.Ticket}, AdmissionGranted
 		}
-		// The broker has another table than this host.
+		// The broker has another table than this host, or does not know that the upstream accepts no requests of it.
 		brokers.Done(answer.Ticket, assign.ResultNeutral, 0)
-		return c.pick(upstreams.all)
+		return c.pick(accepting)
 	}
 	if refused != "" {
 		return choice{}, refused
 	}
-	return c.pick(upstreams.all)
+	return c.pick(accepting)
 }
 
 // pick chooses one of the upstreams by what this host has observed.
--- a/internal/gate/fixture_test.go
+++ b/internal/gate/fixture_test.go
@@ -22,7 +22,7 @@
 
 var names = pipe.HeaderNames{
 	RequestID: "X-Id", Deadline: "X-Left", Signature: "X-Signed", ExpectedUpstream: "X-Upstream", NotRun: "X-Not-Run",
-	Key: "X-Key",
+	Key: "X-Key", Leaving: "X-Leaving",
 }
 
 // fakeUpstream is an upstream that responds by a function and records the IDs of the requests it receives.
@@ -116,6 +116,13 @@
 	return f.now + time.Since(processStart)
 }
 
+// advance moves the clock of the gate forward.
+func (f *fixture) advance(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.now += d
+}
+
 var processStart = time.Now()
 
 type logWriter struct{ f *fixture }
@@ -132,6 +139,12 @@
 }
 
 func newFixtureWithBrokers(t *testing.T, brokers *gate.Brokers) *fixture {
+	t.Helper()
+	return newFixtureWith(t, func(cfg *gate.Config) { cfg.Brokers = brokers })
+}
+
+// newFixtureWith returns a fixture whose configuration configure may change.
+func newFixtureWith(t *testing.T, configure func(cfg *gate.Config)) *fixture {
 	t.Helper()
 	f := &fixture{t: t, view: route.NewView(), now: time.Hour}
 	pool := pipe.New(pipe.Config{
@@ -142,12 +155,14 @@
 	f.crashes = gate.NewCrashGuard(gate.CrashGuardConfig{
 		Host: "h1", Clock: f.clock, Probe: pool.Probe, View: f.view, Log: log,
 	})
-	f.gate = gate.New(gate.Config{
-		Names: names, View: f.view, Clock: f.clock, Brokers: brokers, DataCentre: "a",
+	cfg := gate.Config{
+		Names: names, View: f.view, Clock: f.clock, DataCentre: "a",
 		MaxBodyBytes: 1 << 20, MaxBufferedBytes: 8 << 20, Pool: pool, Crashes: f.crashes, Log: log,
 		Picker: gate.NewPicker("a", func(int) int { return 0 }),
 		Budget: gate.NewBudget(gate.BudgetConfig{Ratio: 0.2, Slack: 40, Window: 10 * time.Second}),
-	})
+	}
+	configure(&cfg)
+	f.gate = gate.New(cfg)
 	return f
 }
 
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -3,6 +3,7 @@
 package gate
 
 import (
+	"context"
 	"log/slog"
 	"net/http"
 	"strings"
@@ -28,8 +29,10 @@
 	Budget     *Budget
 	// Crashes keeps requests that crash upstreams away from them. Nil uses a guard that reports to no leader.
 	Crashes *CrashGuard
-	Clock   func() time.Duration
-	Log     *slog.Logger
+	// ReportLeaving tells the leader which upstreams have said in their answers that they leave. Nil reports nothing.
+	ReportLeaving func(ctx context.Context, upstreams []model.Upstream) error
+	Clock         func() time.Duration
+	Log           *slog.Logger
 	// Metrics records the requests; it may be nil.
 	Metrics *metric.Registry
 	// MaxBodyBytes is the limit on a request body if the routing table sets none.
@@ -45,6 +48,7 @@
 	stopping      atomic.Bool
 	serviceTimes  *serviceTimeEstimator
 	upstreams     upstreamCache
+	notices       *notices
 }
 
 // New returns a gate, which is not ready before cfg.View has a table with routes.
@@ -52,7 +56,7 @@
 	if cfg.Crashes == nil {
 		cfg.Crashes = NewCrashGuard(CrashGuardConfig{Clock: cfg.Clock, Probe: cfg.Pool.Probe, View: cfg.View, Log: cfg.Log})
 	}
-	return &Gate{cfg: cfg, serviceTimes: newServiceTimeEstimator()}
+	return &Gate{cfg: cfg, serviceTimes: newServiceTimeEstimator(), notices: newNotices()}
 }
 
 // Stop makes the gate report that it is not ready and ask callers to close their connections.
@@ -147,6 +151,7 @@
 func (g *Gate) Sweep() {
 	if t, _ := g.cfg.View.Table(); t.Version > 0 {
 		g.cfg.Picker.Forget(t.Upstreams)
+		go g.reportLeaving(g.notices.sweep(g.cfg.Clock(), t))
 	}
 	g.cfg.Crashes.Sweep()
 }
--- a/internal/gate/keyed.go
+++ b/internal/gate/keyed.go
@@ -62,6 +62,8 @@
 		return proto.CodeOverloaded, "enough requests wait for the owner of the key"
 	case AdmissionWait:
 		return proto.CodeOverloaded, "the owner of the key had no room in time"
+	case AdmissionTurnedAway:
+		return proto.CodeOverloaded, "the owner of the key has asked for no requests for a while"
 	case AdmissionUnreachable:
 		return proto.CodeNoUpstream, "the data centre of the owner of the key can't be reached"
 	}
@@ -89,7 +91,12 @@
 			cancelWait()
 		}
 		pause, admission := ownerDeadline-c.now(), Admission("")
-		if target.Upstream.Name != "" && c.gate.cfg.View.MayRouteTo(c.now(), target.Upstream) {
+		if pause := c.gate.notices.pause(c.now(), target.Upstream); pause > 0 {
+			cancelWait()
+			c.retryAfter = pause
+			return target, changed, AdmissionTurnedAway, choice{}
+		}
+		if c.mayRouteTo(target.Upstream) {
 			c.upstream = target.Upstream.Name
 			c.rangeFirst, c.rangeLast = target.Assignment.First/model.OrderedSpan, target.Assignment.Last/model.OrderedSpan
 			c.rangeEpoch = target.Assignment.Epoch
@@ -116,6 +123,11 @@
 	}
 }
 
+// mayRouteTo reports whether the owner of a key exists and still gets requests if it leaves.
+func (c *call) mayRouteTo(owner model.Upstream) bool {
+	return owner.Name != "" && c.gate.cfg.View.MayRouteTo(c.now(), owner) && c.gate.notices.mayRouteTo(c.now(), owner)
+}
+
 // admissionPollInterval is the interval between checks whether the owner of a key can take a waiting request.
 const admissionPollInterval = 15 * time.Millisecond
 
--- a/internal/gate/pick.go
+++ b/internal/gate/pick.go
@@ -157,6 +157,8 @@
 	AdmissionQueueFull Admission = "none"
 	// AdmissionUnreachable means that the host is cut off from the data centre of the owner.
 	AdmissionUnreachable Admission = "unreachable"
+	// AdmissionTurnedAway means that the upstreams have asked for no requests for a while, or leave.
+	AdmissionTurnedAway Admission = "turned_away"
 	// AdmissionEjected means that the owner gets no requests for a while because it failed too often.
 	AdmissionEjected Admission = "ejected"
 )
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -126,6 +126,19 @@
 	return n.planner.MarkLeaving(n.cfg.Clock(), n.model.Load(), name), nil
 }
 
+// RecordLeaving records on the leader that upstreams say in their answers that they leave.
+func (n *Node) RecordLeaving(processes []owner.Process) error {
+	n.plannerMu.Lock()
+	defer n.plannerMu.Unlock()
+	if err := n.requireLeader(); err != nil {
+		return err
+	}
+	for _, p := range processes {
+		n.planner.RecordLeaving(n.model.Load(), p)
+	}
+	return nil
+}
+
 // Changed returns a channel that is closed on the next change of the model or of the suspects.
 func (n *Node) Changed() <-chan struct{} {
 	n.watchMu.Lock()
--- a/internal/peer/leader.go
+++ b/internal/peer/leader.go
@@ -24,6 +24,7 @@
 	PathRuns        = "/control/v1/runs"
 	PathPermit      = "/control/v1/permit"
 	PathMarkLeaving = "/control/v1/depart"
+	PathLeaving     = "/control/v1/leaving"
 	PathChange      = "/control/v1/change"
 	PathItems       = "/control/v1/items"
 )
--- a/internal/pipe/pipe.go
+++ b/internal/pipe/pipe.go
@@ -28,6 +28,8 @@
 	NotRun string
 	// Key holds the key of a request to a keyed service.
 	Key string
+	// Leaving is present in the responses of an upstream that is about to end.
+	Leaving string
 }
 
 // Config configures a Pool.
@@ -64,6 +66,15 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	Notice Notice
+}
+
+// Notice is what a response says about its upstream, beside the request.
+type Notice struct {
+	// Leaving is true if the upstream is about to end.
+	Leaving bool
+	// RetryAfter is how long the upstream wants no requests of this host; 0 without such a wish.
+	RetryAfter time.Duration
 }
 
 // Stage is how far a failed attempt got.
@@ -89,6 +100,8 @@
 	// Broken is true if the connection ended after the request was sent and before its response was complete. Either the
 	// upstream has ended while it ran the request, or only the connection has.
 	Broken bool
+	// Notice is that of a refusal.
+	Notice Notice
 	Err    error
 }
 
--- a/internal/pipe/send.go
+++ b/internal/pipe/send.go
@@ -158,7 +158,19 @@
 	if failure := p.checkResponse(resp); failure != nil {
 		return nil, reusable, failure
 	}
-	return &Response{Status: resp.StatusCode, Header: EndToEndHeaders(resp.Header), Body: body}, reusable, nil
+	return &Response{
+		Status: resp.StatusCode, Header: EndToEndHeaders(resp.Header), Body: body, Notice: p.notice(resp),
+	}, reusable, nil
+}
+
+// notice returns what a response says about its upstream. A response that names another process at the address says nothing
+// about the one that the request was for.
+func (p *Pool) notice(resp *http.Response) Notice {
+	if resp.StatusCode == http.StatusMisdirectedRequest {
+		return Notice{}
+	}
+	leaving := resp.Header.Get(p.cfg.Names.Leaving)
+	return Notice{Leaving: leaving != "" && leaving != "0"}
 }
 
 // checkResponse returns a failure if the upstream reports that it did not run the request, or if a successful response has
@@ -166,7 +178,9 @@
 func (p *Pool) checkResponse(resp *http.Response) *Failure {
 	switch {
 	case resp.Header.Get(p.cfg.Names.NotRun) != "", resp.StatusCode == http.StatusMisdirectedRequest:
-		return &Failure{Stage: StageRefused, Status: resp.StatusCode, Reason: "upstream refused with " + resp.Status}
+		return &Failure{
+			Stage: StageRefused, Status: resp.StatusCode, Reason: "upstream refused with " + resp.Status, Notice: p.notice(resp),
+		}
 	case resp.StatusCode < 300 && resp.Header.Get(p.cfg.Names.Signature) == "":
 		return unknownFailure("answer without a signature", nil)
 	case resp.StatusCode < 300 && resp.Header.Get("Content-Encoding") != "":
--- a/internal/route/view.go
+++ b/internal/route/view.go
@@ -113,9 +113,9 @@
 	// maxUpdateGap is the longest time between two renewals of a host that follows all changes: a renewal waits up to 1 s
 	// for a change, and its answer has to arrive.
 	maxUpdateGap = 1500 * time.Millisecond
-	// leavingGracePeriod is how long the owner of a key still gets requests after the host sent the renewal whose answer
+	// LeavingGracePeriod is how long the owner of a key still gets requests after the host sent the renewal whose answer
 	// reported that the owner is leaving. The owner keeps serving for 2 s after its announcement was acknowledged.
-	leavingGracePeriod = 1600 * time.Millisecond
+	LeavingGracePeriod = 1600 * time.Millisecond
 )
 
 // updateLeavingSince records when the upstreams of a new table may have started to leave. A host that has not followed all
@@ -132,13 +132,13 @@
 		}
 		v.leavingSince[name] = sentAt
 		if !upToDate {
-			v.leavingSince[name] = sentAt - leavingGracePeriod
+			v.leavingSince[name] = sentAt - LeavingGracePeriod
 		}
 	}
 }
 
 // MayRouteTo reports whether the owner of a key may still get requests for it. An owner that leaves gets them only for
-// leavingGracePeriod.
+// LeavingGracePeriod.
 func (v *View) MayRouteTo(now time.Duration, u model.Upstream) bool {
 	if u.LeavingSince == 0 {
 		return true
@@ -146,7 +146,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	since, ok := v.leavingSince[u.Name]
-	return ok && now < since+leavingGracePeriod
+	return ok && now < since+LeavingGracePeriod
 }
 
 // Table returns the current table and a channel that is closed when a newer one arrives.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -128,6 +128,31 @@
 	}
 }
 
+// Guards against requests to upstreams that have said in their answers that they leave, also after a restart of the
+// processes that know of it, and against keys that stay with such an upstream.
+func TestLeavingAnswersEndTheUse(t *testing.T) {
+	daemonPath := buildDaemon(t)
+	i := 0
+	for name, disturb := range map[string]func(r *soak.Run) error{
+		"undisturbed": nil, "replicas killed": (*soak.Run).RestartReplicas, "leader killed": (*soak.Run).KillLeader,
+		"hosts killed": (*soak.Run).RestartEntryHosts,
+	} {
+		i++
+		octet := 2 + 2*((os.Getpid()+60+i)%120)
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			cfg := soak.Config{DaemonPath: daemonPath, Dir: t.TempDir(), LoopbackOctet: octet, EntryHosts: 3}
+			run, violations, err := soak.RunLeavingAnswers(cfg, disturb)
+			answered, failed := run.Counts()
+			t.Logf("%d answered, %d failed", answered, failed)
+			if err != nil || len(violations) > 0 {
+				t.Errorf("%v\n%d violations:\n%s\nevents:\n%s\nlogs in %s", err, len(violations),
+					strings.Join(violations[:min(10, len(violations))], "\n"), strings.Join(run.Events, "\n"), keepLogs(t, cfg.Dir))
+			}
+		})
+	}
+}
+
 // Guards against a harmless request that is refused because its upstreams ended while it was in flight on all hosts.
 func TestHarmlessRequestIsServedAfterCrashes(t *testing.T) {
 	daemonPath := buildDaemon(t)
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -22,6 +22,9 @@
 	serviceTime       = 8 * time.Millisecond
 	// serveAfterDrain is how long an upstream keeps serving after its drain was acknowledged.
 	serveAfterDrain = 4 * time.Second
+	// leavingBound is how long requests may still arrive after the first answer that says that the upstream leaves: 2 s, and
+	// the way of a request that was sent before.
+	leavingBound = 2200 * time.Millisecond
 )
 
 // UpstreamGroup holds the upstreams of a run. Each upstream can look up the key ranges of the others, to check that no two
@@ -76,8 +79,12 @@
 	released         [][]any
 	killed, draining bool
 	drainAckedAt     time.Time
-	ctx              context.Context
-	cancel           context.CancelFunc
+	// saysLeaving is true if the answers say that the upstream leaves, while its reports say that it is ready. leavingSince is
+	// the time of the first such answer.
+	saysLeaving  bool
+	leavingSince time.Time
+	ctx          context.Context
+	cancel       context.CancelFunc
 }
 
 // Start starts an upstream that listens on listenAddress and announces announcedAddress.
@@ -119,6 +126,29 @@
 	u.draining = true
 }
 
+// SayLeaving makes the following answers say that the upstream leaves. Its reports go on to say that it is ready.
+func (u *Upstream) SayLeaving() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.saysLeaving = true
+}
+
+// announceLeaving adds the header of an upstream that leaves to the answer, and checks that it gets no new requests.
+func (u *Upstream) announceLeaving(w http.ResponseWriter, id string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !u.saysLeaving {
+		return
+	}
+	w.Header().Set("Server-Leaving", "1")
+	if u.leavingSince.IsZero() {
+		u.leavingSince = time.Now()
+	}
+	if since := time.Since(u.leavingSince); since > leavingBound {
+		u.group.checker.ReportViolation("request %s reached upstream %s %v after it said that it leaves", id, u.id, since)
+	}
+}
+
 // holdsKey reports whether the upstream holds a valid grant for the key.
 func (u *Upstream) holdsKey(key int) bool {
 	u.mu.Lock()
@@ -180,6 +210,7 @@
 	if !drainAckedAt.IsZero() {
 		u.group.checker.CheckDrained(id, u.id, time.Since(drainAckedAt))
 	}
+	u.announceLeaving(w, id)
 	if u.keyed {
 		key, err := strconv.Atoi(r.Header.Get("Shard-Key"))
 		if err != nil || !u.holdsKey(key) {
