Send nothing to upstreams that asked for a pause

Cause: the Retry-After of an upstream was not read; a host avoided a refusing upstream for 60 ms, and not at all if all others did the same.

A host now sends nothing to an upstream process, as the owner of keys neither, until the time is over. If all upstreams of a service want none, or leave, the request is refused at once without a send, and Retry-After says when the first of them wants requests again. Values that are no positive number are ignored; the longest is an hour.

Failed with notices ignored, pass now: gate.TestRetryAfterOfUpstreamsIsHonoured, TestRetryAfterOfAnOwnerIsHonoured, soak.TestRetryAfterOfUpstreamsIsHonoured (real processes, all keyed and other upstreams refuse for 9 s, also with all replicas or the hosts killed): no request beyond two for each host, upstream and pause, and all serve again.

--- a/internal/gate/notice_test.go
+++ b/internal/gate/notice_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -18,6 +20,12 @@
 	writeResponse(c, r, "200 OK", "X-Signed: s\r\nX-Leaving: 1\r\n", "ok")
 }
 
+func respondRetryAfter(seconds string) func(c net.Conn, n int, r *http.Request) {
+	return func(c net.Conn, _ int, r *http.Request) {
+		writeResponse(c, r, "503 Full", "X-Not-Run: 1\r\nRetry-After: "+seconds+"\r\n", "")
+	}
+}
+
 // Guards against requests to an upstream that says in its answers that it leaves, and reports that it is ready.
 func TestLeavingAnswerEndsTheUse(t *testing.T) {
 	is := is.New(t)
@@ -76,3 +84,69 @@
 	time.Sleep(50 * time.Millisecond)
 	is.Equal(len(reports), 0)
 }
+
+// Guards against requests to upstreams that asked for none for a while, and against callers who are not told when to come
+// back.
+func TestRetryAfterOfUpstreamsIsHonoured(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	var us []model.Upstream
+	var fakes []*fakeUpstream
+	for i := range 4 {
+		fake := newFakeUpstream(t, respondRetryAfter("3"))
+		us, fakes = append(us, newUpstream(fmt.Sprint("u", i), fake)), append(fakes, fake)
+	}
+	f.setTable(1, true, us...)
+	var resp callerResponse
+	for range 30 {
+		resp = f.do(http.MethodGet, "/o/1", "")
+		is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	}
+	for _, x := range fakes {
+		is.True(x.requestCount() <= 2)
+	}
+	seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	is.NoErr(err)
+	is.True(seconds > 2 && seconds <= 3)
+	is.Equal(f.lastLogEntry()["sends"], 0.0)
+
+	f.advance(3100 * time.Millisecond)
+	before := fakes[0].requestCount() + fakes[1].requestCount() + fakes[2].requestCount() + fakes[3].requestCount()
+	f.do(http.MethodGet, "/o/1", "")
+	is.True(fakes[0].requestCount()+fakes[1].requestCount()+fakes[2].requestCount()+fakes[3].requestCount() > before)
+}
+
+// Guards against requests for a key whose owner asked for none, and against an owner that stays unused after the time.
+func TestRetryAfterOfAnOwnerIsHonoured(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	owner := newFakeUpstream(t, func(c net.Conn, n int, r *http.Request) {
+		if n == 1 {
+			respondRetryAfter("1.5")(c, n, r)
+			return
+		}
+		respondOK(c, n, r)
+	})
+	f.setTable(1, true, newUpstream("u1", owner))
+	for range 10 {
+		resp := f.do(http.MethodGet, "/s/1", "")
+		is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+		is.True(resp.Header.Get("Retry-After") > "1")
+	}
+	is.Equal(owner.requestCount(), 1)
+	f.advance(1600 * time.Millisecond)
+	is.Equal(f.do(http.MethodGet, "/s/1", "").StatusCode, http.StatusOK)
+}
+
+// Guards against an upstream that takes itself out of use by a Retry-After that means nothing.
+func TestInvalidRetryAfterIsIgnored(t *testing.T) {
+	for _, value := range []string{"", "soon", "-1", "NaN", "0"} {
+		is := is.New(t)
+		f := newFixture(t)
+		fake := newFakeUpstream(t, respondRetryAfter(value))
+		f.setTable(1, true, newUpstream("u1", fake))
+		f.do(http.MethodGet, "/o/1", "")
+		f.do(http.MethodGet, "/o/1", "")
+		is.Equal(fake.requestCount(), 2)
+	}
+}
--- a/internal/pipe/send.go
+++ b/internal/pipe/send.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"syscall"
+	"time"
 
 	"github.com/go-faster/errors"
 )
@@ -170,7 +171,23 @@
 		return Notice{}
 	}
 	leaving := resp.Header.Get(p.cfg.Names.Leaving)
-	return Notice{Leaving: leaving != "" && leaving != "0"}
+	n := Notice{Leaving: leaving != "" && leaving != "0"}
+	if resp.StatusCode == http.StatusServiceUnavailable {
+		n.RetryAfter = retryAfter(resp.Header.Get("Retry-After"))
+	}
+	return n
+}
+
+// maxRetryAfter limits the time that an upstream can ask for, which is forgotten with its process.
+const maxRetryAfter = time.Hour
+
+// retryAfter parses a number of seconds. It returns 0 for anything else.
+func retryAfter(header string) time.Duration {
+	s, err := strconv.ParseFloat(strings.TrimSpace(header), 64)
+	if err != nil || !(s > 0) {
+		return 0
+	}
+	return time.Duration(min(s, maxRetryAfter.Seconds()) * float64(time.Second))
 }
 
 // checkResponse returns a failure if the upstream reports that it did not run the request, or if a successful response has
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -60,6 +61,8 @@
 	paused    bool
 	// firstStart is true until the daemon has been started once.
 	firstStart bool
+	// starts counts the starts of the daemon.
+	starts atomic.Int64
 }
 
 // Fleet holds the daemons of a run.
@@ -135,6 +138,7 @@
 		return errors.Wrap(err, "write settings")
 	}
 	h.firstStart = false
+	h.starts.Add(1)
 	log, err := os.OpenFile(filepath.Join(f.cfg.Dir, h.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return errors.Wrap(err, "open log")
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -229,7 +229,7 @@
 	random := rand.New(rand.NewPCG(uint64(caller), 2))
 	for i := 0; ctx.Err() == nil; i++ {
 		h := r.fleet.EntryHosts()[random.IntN(len(r.fleet.EntryHosts()))]
-		id := fmt.Sprintf("c%d-%d", caller, i)
+		id := fmt.Sprintf("c%d-%d%s%s-%d", caller, i, hostSeparator, h.Name, h.starts.Load())
 		method := http.MethodGet
 		if i%2 == 1 {
 			method = http.MethodPost
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -131,23 +131,41 @@
 // Guards against requests to upstreams that have said in their answers that they leave, also after a restart of the
 // processes that know of it, and against keys that stay with such an upstream.
 func TestLeavingAnswersEndTheUse(t *testing.T) {
-	daemonPath := buildDaemon(t)
-	i := 0
-	for name, disturb := range map[string]func(r *soak.Run) error{
+	runDisturbed(t, 60, map[string]func(r *soak.Run) error{
 		"undisturbed": nil, "replicas killed": (*soak.Run).RestartReplicas, "leader killed": (*soak.Run).KillLeader,
 		"hosts killed": (*soak.Run).RestartEntryHosts,
-	} {
-		i++
-		octet := 2 + 2*((os.Getpid()+60+i)%120)
+	}, soak.RunLeavingAnswers)
+}
+
+// Guards against requests to upstreams, keyed ones too, that refuse all requests and say for how long they want none, and
+// against hosts that do not use them again afterwards.
+func TestRetryAfterOfUpstreamsIsHonoured(t *testing.T) {
+	runDisturbed(t, 70, map[string]func(r *soak.Run) error{
+		"undisturbed": nil, "replicas killed": (*soak.Run).RestartReplicas, "hosts killed": (*soak.Run).RestartEntryHosts,
+	}, soak.RunTurnAway)
+}
+
+// runDisturbed runs a scenario with each of the disturbances.
+func runDisturbed(
+	t *testing.T, firstOctet int, disturbances map[string]func(r *soak.Run) error,
+	run func(cfg soak.Config, disturb func(r *soak.Run) error) (*soak.Run, []string, error),
+) {
+	t.Helper()
+	daemonPath := buildDaemon(t)
+	octet := firstOctet
+	for name, disturb := range disturbances {
+		octet++
+		cfg := soak.Config{
+			DaemonPath: daemonPath, Dir: t.TempDir(), LoopbackOctet: 2 + 2*((os.Getpid()+octet)%120), EntryHosts: 3,
+		}
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			cfg := soak.Config{DaemonPath: daemonPath, Dir: t.TempDir(), LoopbackOctet: octet, EntryHosts: 3}
-			run, violations, err := soak.RunLeavingAnswers(cfg, disturb)
-			answered, failed := run.Counts()
+			r, violations, err := run(cfg, disturb)
+			answered, failed := r.Counts()
 			t.Logf("%d answered, %d failed", answered, failed)
 			if err != nil || len(violations) > 0 {
 				t.Errorf("%v\n%d violations:\n%s\nevents:\n%s\nlogs in %s", err, len(violations),
-					strings.Join(violations[:min(10, len(violations))], "\n"), strings.Join(run.Events, "\n"), keepLogs(t, cfg.Dir))
+					strings.Join(violations[:min(10, len(violations))], "\n"), strings.Join(r.Events, "\n"), keepLogs(t, cfg.Dir))
 			}
 		})
 	}
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -25,6 +25,12 @@
 	// leavingBound is how long requests may still arrive after the first answer that says that the upstream leaves: 2 s, and
 	// the way of a request that was sent before.
 	leavingBound = 2200 * time.Millisecond
+	// maxPauseArrivals is how many requests of a host may reach an upstream that wanted none of it for a while, from
+	// pauseMargin after its refusal.
+	maxPauseArrivals = 2
+	pauseMargin      = 500 * time.Millisecond
+	// hostSeparator stands before the host and its starts in request IDs.
+	hostSeparator = "@"
 )
 
 // UpstreamGroup holds the upstreams of a run. Each upstream can look up the key ranges of the others, to check that no two
@@ -83,8 +89,12 @@
 	// the time of the first such answer.
 	saysLeaving  bool
 	leavingSince time.Time
-	ctx          context.Context
-	cancel       context.CancelFunc
+	// turnAway is the Retry-After time with which the upstream refuses all requests, or 0. pauses holds the pause of each
+	// entry host that was refused.
+	turnAway time.Duration
+	pauses   map[string]*pause
+	ctx      context.Context
+	cancel   context.CancelFunc
 }
 
 // Start starts an upstream that listens on listenAddress and announces announcedAddress.
@@ -149,6 +159,45 @@
 	}
 }
 
+// pause is the time for which an upstream wants no requests of an entry host.
+type pause struct {
+	refusedAt, until time.Time
+	// arrivals counts the requests that came later than pauseMargin after the refusal.
+	arrivals int
+}
+
+// TurnAway makes the upstream refuse all requests with the Retry-After time, or accept them if that is 0.
+func (u *Upstream) TurnAway(retryAfter time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.turnAway, u.pauses = retryAfter, map[string]*pause{}
+}
+
+// refuseForPause refuses the request if the upstream turns requests away, and checks that the host keeps the pause.
+func (u *Upstream) refuseForPause(w http.ResponseWriter, id string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	_, host, ok := strings.Cut(id, hostSeparator)
+	now := time.Now()
+	p := u.pauses[host]
+	if ok && p != nil && now.After(p.refusedAt.Add(pauseMargin)) && now.Before(p.until) {
+		if p.arrivals++; p.arrivals > maxPauseArrivals {
+			u.group.checker.ReportViolation("%d requests of %s reached upstream %s in the time for which it wanted none", p.arrivals,
+				host, u.id)
+		}
+	}
+	if u.turnAway == 0 {
+		return false
+	}
+	if p == nil || now.After(p.until) {
+		u.pauses[host] = &pause{refusedAt: now, until: now.Add(u.turnAway)}
+	}
+	w.Header().Set("Not-Executed", "1")
+	w.Header().Set("Retry-After", strconv.FormatFloat(u.turnAway.Seconds(), 'f', -1, 64))
+	w.WriteHeader(http.StatusServiceUnavailable)
+	return true
+}
+
 // holdsKey reports whether the upstream holds a valid grant for the key.
 func (u *Upstream) holdsKey(key int) bool {
 	u.mu.Lock()
@@ -211,6 +260,9 @@
 		u.group.checker.CheckDrained(id, u.id, time.Since(drainAckedAt))
 	}
 	u.announceLeaving(w, id)
+	if u.refuseForPause(w, id) {
+		return
+	}
 	if u.keyed {
 		key, err := strconv.Atoi(r.Header.Get("Shard-Key"))
 		if err != nil || !u.holdsKey(key) {
