Look for a broker's upstream in the group of that broker only, as before

The change for Retry-After searched all upstreams of the service, which hashes each of their names for each request.

--- a/internal/gate/choose.go
+++ b/internal/gate/choose.go
@@ -175,7 +175,7 @@
 			refused, c.retryAfter = AdmissionQueueFull, answer.RetryAfter
 			continue
 		}
-		if u, ok := answer.Find(accepting); ok && !c.tried[u.Name] {
+		if u, ok := answer.Find(g.upstreams); ok && !c.tried[u.Name] && c.gate.notices.accepts(c.now(), u) {
 			c.gate.cfg.Picker.Begin(u)
 			return choice{upstream: u, ticket: answer.Ticket}, AdmissionGranted
 		}
--- a/internal/gate/notice.go
+++ b/internal/gate/notice.go
@@ -103,6 +103,14 @@
 	return out, retryAfter
 }
 
+// accepts reports whether the upstream neither leaves nor wants a pause.
+func (n *notices) accepts(now time.Duration, u model.Upstream) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_, leaving := n.leavingSince[processOf(u)]
+	return !leaving && now >= n.pausedUntil[processOf(u)]
+}
+
 // sweep drops notices of processes that have been gone for noticeTTL, and returns the upstreams that leave although the
 // table does not say so.
 func (n *notices) sweep(now time.Duration, t *route.Table) []model.Upstream {
