Let brokers know which upstreams want no requests for a while

A pause that an upstream asked of one host was known to that host only: each of hundreds of hosts had to be refused by each upstream of a service that turns all away, and brokers went on assigning such upstreams, whose answers a host then dropped for a choice of its own. A host now tells the broker before the end of the attempt. The broker assigns the upstream to that host no more until the time is over, and to no host once two have been turned away; if that holds for all upstreams it refuses at once with the time at which the first wants requests again. A broker of an earlier build ignores the datagram.

New: assign.TestUpstreamsThatTurnRequestsAwayAreLeftAlone (200 hosts, 4 upstreams: 8 sends), TestPauseOfOneHostIsItsOwn, broker.TestPauseReachesTheBroker; they need the new call, so they were not run on the code before.

--- a/internal/assign/assign.go
+++ b/internal/assign/assign.go
@@ -6,6 +6,7 @@
 import (
 	"math"
 	"net/netip"
+	"slices"
 	"time"
 
 	"baobabreach/internal/model"
@@ -118,6 +119,8 @@
 	refusedAt   time.Duration
 	failures    Failures
 	pausedUntil time.Duration
+	// wantsNoneUntil holds the end of the time for which the upstream wants no requests of a host, by host.
+	wantsNoneUntil map[netip.AddrPort]time.Duration
 }
 
 // assignment is a request in flight.
@@ -155,11 +158,17 @@
 
 // Choose assigns the request to the candidate that will probably respond first, unless even that would be late.
 func (a *Assigner) Choose(now time.Duration, r Request, candidates []model.Upstream) Decision {
-	times, shortest := make([]float64, len(candidates)), math.Inf(1)
+	times, shortest, shortestWait := make([]float64, len(candidates)), math.Inf(1), time.Duration(math.MaxInt64)
 	ejectionsApply := a.ejectionsApply(now, candidates)
+	turnedAway := 0
 	for i, u := range candidates {
 		l := a.loadOf(u)
 		times[i] = math.Inf(1)
+		if wait := l.wantsNone(now, r.ID.Host); wait > 0 {
+			shortestWait = min(shortestWait, wait)
+			turnedAway++
+			continue
+		}
 		if now < l.pausedUntil || (ejectionsApply && l.failures.Ejected(now)) || a.stalled(now, u, l) {
 			continue
 		}
@@ -176,7 +185,10 @@
 			best, bestAffinity = i, affinity
 		}
 	}
-	if best < 0 {
+	switch {
+	case turnedAway == len(candidates):
+		return a.refuse(shortestWait)
+	case best < 0:
 		return a.refuse(refusalPause)
 	}
 	return a.admit(now, r, candidates[best])
@@ -192,7 +204,9 @@
 // Admit decides on a request for the owner of a key.
 func (a *Assigner) Admit(now time.Duration, r Request, owner model.Upstream) Decision {
 	l := a.loadOf(owner)
-	switch {
+	switch wait := l.wantsNone(now, r.ID.Host); {
+	case wait > 0:
+		return a.refuse(wait)
 	case l.failures.EjectedAsOwner(now):
 		return a.refuse(l.failures.ejectedUntil - now)
 	case now < l.pausedUntil:
@@ -322,6 +336,44 @@
 	}
 }
 
+// Pause records that the upstream of an assigned request wants no requests of its host for a while.
+func (a *Assigner) Pause(now time.Duration, id ID, d time.Duration) {
+	s, ok := a.inFlight[id]
+	if !ok {
+		return
+	}
+	l := a.loadOf(s.upstream)
+	if l.wantsNoneUntil == nil {
+		l.wantsNoneUntil = map[netip.AddrPort]time.Duration{}
+	}
+	l.wantsNoneUntil[id.Host] = max(l.wantsNoneUntil[id.Host], now+d)
+}
+
+// pausesOfAll is the number of hosts from which on a pause applies to all hosts: an upstream that turns several away has no
+// room for others.
+const pausesOfAll = 2
+
+// wantsNone returns how long the upstream still wants no requests of the host.
+func (l *load) wantsNone(now time.Duration, host netip.AddrPort) time.Duration {
+	if len(l.wantsNoneUntil) == 0 {
+		return 0
+	}
+	var waits []time.Duration
+	for h, until := range l.wantsNoneUntil {
+		if now >= until {
+			delete(l.wantsNoneUntil, h)
+			continue
+		}
+		waits = append(waits, until-now)
+	}
+	own := max(0, l.wantsNoneUntil[host]-now)
+	if len(waits) < pausesOfAll {
+		return own
+	}
+	slices.Sort(waits)
+	return max(own, waits[len(waits)-pausesOfAll])
+}
+
 // countUse updates the share of requests that ended without a response.
 func (l *load) countUse(r Result) {
 	switch r {
--- a/internal/assign/assign_test.go
+++ b/internal/assign/assign_test.go
@@ -144,3 +144,42 @@
 		})
 	}
 }
+
+// Guards against hundreds of hosts that each have to be refused by each upstream of a service that turns all requests away.
+func TestUpstreamsThatTurnRequestsAwayAreLeftAlone(t *testing.T) {
+	is := is.New(t)
+	a, rs := assign.New(), &requests{}
+	us := []model.Upstream{newUpstream("u1"), newUpstream("u2"), newUpstream("u3"), newUpstream("u4")}
+	now, granted := time.Second, 0
+	var last assign.Decision
+	for i := range 200 {
+		r := rs.next()
+		r.ID.Host = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1)
+		if last = a.Choose(now, r, us); last.Granted() {
+			granted++
+			a.Pause(now, r.ID, 3*time.Second)
+			a.Done(now, r.ID, assign.ResultRefused, time.Millisecond)
+		}
+		now += time.Millisecond
+	}
+	is.Equal(granted, 8) // two hosts for each upstream
+	is.True(!last.Granted())
+	is.True(last.RetryAfter > 2*time.Second && last.RetryAfter <= 3*time.Second)
+	is.True(a.Choose(now+3*time.Second, rs.next(), us).Granted())
+}
+
+// Guards against an upstream that no host uses because it wanted no requests of one of them, and against a host that gets it
+// assigned again.
+func TestPauseOfOneHostIsItsOwn(t *testing.T) {
+	is := is.New(t)
+	a, rs, u := assign.New(), &requests{}, newUpstream("u")
+	r := rs.next()
+	r.ID.Host = netip.MustParseAddrPort("10.0.0.1:1")
+	is.True(a.Admit(time.Second, r, u).Granted())
+	a.Pause(time.Second, r.ID, 2*time.Second)
+	a.Done(time.Second, r.ID, assign.ResultRefused, time.Millisecond)
+	same, other := rs.next(), rs.next()
+	same.ID.Host, other.ID.Host = r.ID.Host, netip.MustParseAddrPort("10.0.0.2:1")
+	is.Equal(a.Admit(1100*time.Millisecond, same, u).RetryAfter, 1900*time.Millisecond)
+	is.True(a.Admit(1100*time.Millisecond, other, u).Granted())
+}
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -218,3 +218,21 @@
 	is.NoErr(err)
 	is.True(p.client.Reachable("a"))
 }
+
+// Guards against a broker that does not learn that an upstream wants no requests of a host.
+func TestPauseReachesTheBroker(t *testing.T) {
+	is := is.New(t)
+	state := model.NewState()
+	state.Upstreams = newUpstreams(1)
+	p := newPair(state, "secret", "secret")
+	q := broker.Query{Service: "orders", Objective: time.Second, Timeout: time.Second}
+	g, err := p.client.Ask(context.Background(), brokerAddress, q)
+	is.NoErr(err)
+	is.True(g.Granted)
+	p.client.Pause(g.Ticket, 3*time.Second)
+	p.client.Done(g.Ticket, assign.ResultRefused, time.Millisecond)
+	g, err = p.client.Ask(context.Background(), brokerAddress, q)
+	is.NoErr(err)
+	is.True(!g.Granted)
+	is.Equal(g.RetryAfter, 3*time.Second)
+}
--- a/internal/broker/client.go
+++ b/internal/broker/client.go
@@ -268,6 +268,15 @@
 	c.cfg.Send(encode(c.token, kindDone, t.sequence, done{Result: uint8(r), ElapsedMs: milliseconds(elapsed)}), t.broker)
 }
 
+// Pause reports that the upstream of an assigned request wants no requests of this host for a while. It must come before
+// Done.
+func (c *Client) Pause(t Ticket, d time.Duration) {
+	if t.sequence == 0 {
+		return
+	}
+	c.cfg.Send(encode(c.token, kindPause, t.sequence, pause{ForMs: milliseconds(d)}), t.broker)
+}
+
 // Receive processes a datagram. It ignores datagrams that are no answer to a pending question.
 func (c *Client) Receive(b []byte, from netip.AddrPort) {
 	h, body, err := decodeHead(c.token, b)
--- a/internal/broker/codec.go
+++ b/internal/broker/codec.go
@@ -22,6 +22,8 @@
 	kindDone
 	// kindPing has the body of kindDone, which is not used, and gets an empty answer.
 	kindPing
+	// kindPause precedes kindDone if the upstream asked for a pause. Brokers of an earlier build ignore it.
+	kindPause
 )
 
 // signatureBytes is the length of the truncated HMAC at the end of each datagram, which is left out without a token.
@@ -58,11 +60,16 @@
 	ElapsedMs uint32
 }
 
+// pause tells for how long the upstream wants no requests of the host.
+type pause struct {
+	ForMs uint32
+}
+
 // hashName returns the hash by which messages name a service or upstream.
 func hashName(name string) uint64 { return xxhash.Sum64String(name) }
 
 // encode returns a datagram with the body, signed if there is a token.
-func encode[T ask | answer | done](token []byte, k kind, sequence uint64, body T) []byte {
+func encode[T ask | answer | done | pause](token []byte, k kind, sequence uint64, body T) []byte {
 	b := make([]byte, 0, MaxDatagramBytes)
 	// Appending structs of fixed size never fails.
 	b, _ = binary.Append(b, binary.LittleEndian, head{Version: formatVersion, Kind: k, Sequence: sequence})
@@ -100,7 +107,7 @@
 }
 
 // decodeBody decodes a body of exactly the size of T.
-func decodeBody[T ask | answer | done](b []byte) (T, error) {
+func decodeBody[T ask | answer | done | pause](b []byte) (T, error) {
 	var body T
 	n, err := binary.Decode(b, binary.LittleEndian, &body)
 	if err != nil {
--- a/internal/broker/server.go
+++ b/internal/broker/server.go
@@ -68,6 +68,12 @@
 		}
 	case kindPing:
 		s.cfg.Send(encode(s.token, kindAnswer, h.Sequence, answer{}), from)
+	case kindPause:
+		if m, err := decodeBody[pause](body); err == nil {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.assigner.Pause(s.cfg.Clock(), assign.ID{Host: from, Sequence: h.Sequence}, time.Duration(m.ForMs)*time.Millisecond)
+		}
 	case kindDone:
 		if m, err := decodeBody[done](body); err == nil {
 			s.mu.Lock()
--- a/internal/daemon/broker.go
+++ b/internal/daemon/broker.go
@@ -52,7 +52,7 @@
 		return nil
 	}
 	return &gate.Brokers{
-		Members: s.directory.brokers, Done: s.client.Done, Reachable: s.client.Reachable,
+		Members: s.directory.brokers, Done: s.client.Done, Pause: s.client.Pause, Reachable: s.client.Reachable,
 		Ask: func(ctx context.Context, m broker.Member, q broker.Query) (broker.Answer, error) {
 			return s.client.Ask(ctx, m.Address, q)
 		},
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -202,15 +202,15 @@
 		ID: c.id, Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header, Body: c.body,
 		Timeout: c.deadline - now, Upstream: u.Name, Address: u.Address,
 	})
-	c.endAttempt(chosen, c.attemptResult(ctx, resp, failure), c.now()-now)
+	notice := noticeOf(resp, failure)
+	c.endAttempt(chosen, c.attemptResult(ctx, resp, failure), notice, c.now()-now)
 	c.recordRun(ctx, u, now, failure)
+	c.recordNotice(u, notice)
 	if failure == nil {
-		c.recordNotice(u, resp.Notice)
 		c.mayHaveRun = true
 		c.tried[u.Name] = true
 		return resp, nil
 	}
-	c.recordNotice(u, failure.Notice)
 	switch failure.Stage {
 	case pipe.StageUnknown:
 		c.mayHaveRun = true
--- a/internal/gate/choose.go
+++ b/internal/gate/choose.go
@@ -10,6 +10,7 @@
 	"baobabreach/internal/assign"
 	"baobabreach/internal/broker"
 	"baobabreach/internal/model"
+	"baobabreach/internal/pipe"
 	"baobabreach/internal/route"
 )
 
@@ -22,6 +23,8 @@
 	Ask func(ctx context.Context, m broker.Member, q broker.Query) (broker.Answer, error)
 	// Done reports the end of an assigned request.
 	Done func(t broker.Ticket, r assign.Result, elapsed time.Duration)
+	// Pause reports that the upstream of an assigned request wants no requests of this host for a while, before Done.
+	Pause func(t broker.Ticket, d time.Duration)
 	// Reachable returns false for a data centre that this host is cut off from.
 	Reachable func(dataCentre string) bool
 }
@@ -252,9 +255,12 @@
 }
 
 // endAttempt reports the end of an attempt to the picker and to the broker that assigned it.
-func (c *call) endAttempt(chosen choice, r assign.Result, elapsed time.Duration) {
+func (c *call) endAttempt(chosen choice, r assign.Result, notice pipe.Notice, elapsed time.Duration) {
 	c.gate.cfg.Picker.Done(c.now(), chosen.upstream, r, elapsed)
 	if c.gate.cfg.Brokers != nil {
+		if notice.RetryAfter > 0 {
+			c.gate.cfg.Brokers.Pause(chosen.ticket, notice.RetryAfter)
+		}
 		c.gate.cfg.Brokers.Done(chosen.ticket, r, elapsed)
 	}
 }
--- a/internal/gate/notice.go
+++ b/internal/gate/notice.go
@@ -130,6 +130,14 @@
 	return unknown
 }
 
+// noticeOf returns what the response of an attempt says about its upstream.
+func noticeOf(resp *pipe.Response, failure *pipe.Failure) pipe.Notice {
+	if failure != nil {
+		return failure.Notice
+	}
+	return resp.Notice
+}
+
 // recordNotice applies what the response to an attempt says about its upstream.
 func (c *call) recordNotice(u model.Upstream, notice pipe.Notice) {
 	if !c.gate.notices.record(c.now(), u, notice) {
