Bound the handover tokens that one report may bring

One report with 12,000 released rows, which fit into its 256 KiB, kept the leader busy for 0.8 to 1.4 s on a whole core, longer than its lease of 294 to 300 ms and the election timeout of 0.5 s; a writer that repeats it stops the group again and again. Cause: each row is compared with all tokens that are kept. The first 1,024 rows of a report are taken now; a lost token costs a cold start. owner.TestManyHandoversDoNotStallTheLeader failed before.

--- a/internal/owner/announce.go
+++ b/internal/owner/announce.go
@@ -124,6 +124,9 @@
 // maxHandovers limits how many handover tokens are kept. A lost token costs the next holder a cold start.
 const maxHandovers = 4096
 
+// maxNewHandovers limits the tokens that are taken from one announcement.
+const maxNewHandovers = 1024
+
 // handover is a row that an upstream released, with its handover token.
 type handover struct {
 	service string
@@ -136,7 +139,7 @@
 }
 
 func (h *handovers) add(service string, rows []proto.Row) {
-	for _, r := range rows {
+	for _, r := range rows[:min(len(rows), maxNewHandovers)] {
 		h.rows = slices.DeleteFunc(h.rows, func(x handover) bool {
 			return x.service == service && x.First >= r.First && x.Last <= r.Last
 		})
--- a/internal/owner/platform_test.go
+++ b/internal/owner/platform_test.go
@@ -300,3 +300,25 @@
 		is.True(got.UnmarshalBinary(b[:9]) != nil)
 	}
 }
+
+// Guards against a report with thousands of released rows that keeps the leader busy for longer than its lease.
+func TestManyHandoversDoNotStallTheLeader(t *testing.T) {
+	is := is.New(t)
+	p := owner.New(owner.Config{
+		GrantTTL: 8 * time.Second, AnnounceInterval: time.Second, ReliableIncarnations: true, SlowAnnouncements: true,
+	}, 0)
+	var handovers []proto.Row
+	for i := range uint64(12_000) {
+		handovers = append(handovers, proto.Row{First: i * model.OrderedSpan, Last: i*model.OrderedSpan + 5, Handover: "t"})
+	}
+	rows := []proto.Row{}
+	for i := range uint64(3) {
+		startedAt := time.Now()
+		_, err := p.Announce(time.Duration(i)*time.Second, model.NewState(), proto.Announcement{
+			Name: "u", Service: "s", DataCentre: "a", Address: "10.0.0.1:80", Slots: 3, Incarnation: 5, ChecksGrants: true,
+			Sequence: i + 1, Rows: &rows, Handovers: handovers,
+		})
+		is.True(err == nil)
+		is.True(time.Since(startedAt) < 300*time.Millisecond) // the leader's lease
+	}
+}
