--- a/pkg/proto/check.go
+++ b/pkg/proto/check.go
@@ -19,7 +19,6 @@
 
 // Validate returns an error of type *Error with CodeBadRequest if a field is out of range.
 func (a Announcement) Validate() error {
-	_, addressErr := netip.ParseAddrPort(a.Address)
 	switch {
 	case !IsName(a.Name):
 		return invalidAnnouncement("a name of letters, digits, '-' and '_'")
@@ -27,7 +26,7 @@
 		return invalidAnnouncement("a service of letters, digits, '-' and '_'")
 	case !IsName(a.DataCentre):
 		return invalidAnnouncement("a data_centre of letters, digits, '-' and '_'")
-	case addressErr != nil:
+	case !isUnicast(a.Address):
 		return invalidAnnouncement("an address such as 10.0.0.1:8080")
 	case a.Slots < 1 || a.Slots > maxSlots:
 		return invalidAnnouncement("slots from 1 to 10000")
@@ -39,6 +38,12 @@
 	return nil
 }
 
+// isUnicast reports whether an address can be that of a single process.
+func isUnicast(address string) bool {
+	a, err := netip.ParseAddrPort(address)
+	return err == nil && a.Port() > 0 && !a.Addr().IsUnspecified() && !a.Addr().IsMulticast()
+}
+
 func invalidAnnouncement(expected string) *Error {
 	return NotRun(CodeBadRequest, http.StatusBadRequest, "announcement: expected %s", expected)
 }
