Let reports for unknown services end no upstream

An odd entry that names a service nobody has, at the address or under the name of an upstream and with a later start, ended that upstream: it lost its keys, and its own reports were refused as superseded. Cause: a later process at an address or of a name was believed before the entry was found to name nothing that can be used. Such an entry is acknowledged and has no effect now, unless the process was known before its service was removed. platform.TestReportForAnUnknownServiceEndsNoUpstream failed before.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -189,6 +189,11 @@
 	if err := p.ended.checkNotEnded(info); err != nil {
 		return proto.Grant{}, err
 	}
+	if p.isForeign(s, info) {
+		g := p.emptyGrant()
+		g.Leaving = an.Draining || an.Gone
+		return g, nil
+	}
 	rec, err := p.recordFor(now, s, info)
 	if err != nil {
 		return proto.Grant{}, err
@@ -213,6 +218,16 @@
 	return g, nil
 }
 
+// isForeign reports whether a process that is not known yet announces a service that does not exist. Nothing is sent to it,
+// and it proves nothing about the upstreams of its name or address.
+func (p *Planner) isForeign(s *model.State, info model.Upstream) bool {
+	if _, exists := s.Services[info.Service]; exists || len(s.Services) == 0 || !p.cfg.ReliableIncarnations {
+		return false
+	}
+	rec := p.upstreams[info.Name]
+	return rec == nil || rec.info.Incarnation != info.Incarnation
+}
+
 // Regrant returns the grant for an announcement that was already handled, according to a state that has changed
 // since.
 func (p *Planner) Regrant(now time.Duration, s *model.State, an proto.Announcement) proto.Grant {
