Send a refused request again on a connection of its own

An upstream that writes an earlier refusal once more on a kept connection could make a request that it was running count as not run (own interface): a resend has the same ID, so the copy passed for its answer. wire remembers the last 4,096 refused IDs and sends them again without keep-alive.

--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -12,6 +12,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -41,10 +42,57 @@
 // Client forwards requests to upstreams. It is safe for concurrent use.
 type Client struct {
 	cfg Config
+	// unpooled sends each request on a connection of its own.
+	unpooled *http.Client
+	refused  recentIDs
 }
 
 // New returns a client that sends its requests with cfg.HTTP.
-func New(cfg Config) *Client { return &Client{cfg: cfg} }
+func New(cfg Config) *Client {
+	c := &Client{cfg: cfg, unpooled: cfg.HTTP, refused: recentIDs{known: map[string]bool{}}}
+	if t, ok := cfg.HTTP.Transport.(*http.Transport); ok {
+		t = t.Clone()
+		t.DisableKeepAlives = true
+		unpooled := *cfg.HTTP
+		unpooled.Transport = t
+		c.unpooled = &unpooled
+	}
+	return c
+}
+
+// maxRecentIDs limits the IDs that are remembered.
+const maxRecentIDs = 4096
+
+// recentIDs remembers the last maxRecentIDs request IDs.
+type recentIDs struct {
+	mu    sync.Mutex
+	known map[string]bool
+	// order holds the known IDs, the oldest one at next once it is full.
+	order []string
+	next  int
+}
+
+func (r *recentIDs) add(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case r.known[id]:
+		return
+	case len(r.order) < maxRecentIDs:
+		r.order = append(r.order, id)
+	default:
+		delete(r.known, r.order[r.next])
+		r.order[r.next] = id
+		r.next = (r.next + 1) % maxRecentIDs
+	}
+	r.known[id] = true
+}
+
+func (r *recentIDs) contains(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.known[id]
+}
 
 // Request is a request to forward to an upstream. Send leaves out its hop-by-hop headers and the strippedHeaders.
 type Request struct {
@@ -79,7 +127,12 @@
 	if err != nil {
 		return nil, proto.NotRun(proto.CodeInternal, http.StatusInternalServerError, "make request: %v", err)
 	}
-	resp, err := c.cfg.HTTP.Do(req)
+	client := c.cfg.HTTP
+	if c.refused.contains(r.ID) {
+		// An upstream may write a refusal once more. On the same connection it would pass for the answer to this send.
+		client = c.unpooled
+	}
+	resp, err := client.Do(req)
 	if err != nil {
 		if !headerWritten.Load() {
 			return nil, proto.NotRun(proto.CodeUpstreamFailed, http.StatusBadGateway, "upstream %s can't be reached: %v", u.Name, err)
@@ -109,6 +162,7 @@
 		return nil, proto.Unknown(proto.CodeCrossedAnswer, "upstream %s answered request %q", u.Name, id)
 	}
 	if proto.Outcome(resp.Header.Get(proto.HeaderOutcome)) == proto.OutcomeNotRun {
+		c.refused.add(r.ID)
 		return nil, notRunError(u, resp.StatusCode, body)
 	}
 	if resp.StatusCode >= http.StatusInternalServerError {
