Mark every connection that ends in a response as broken; test cuts at each byte

A response that ended inside a header line was a malformed one, not a broken connection, so that the crash guard did not ask whether the upstream had ended. No cut head was ever taken for a whole response.

--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -251,3 +251,22 @@
 	g.setTable(8, true, newUpstream("u1", b))
 	is.Equal(g.do("GET", "/none/", "").StatusCode, http.StatusNotFound)
 }
+
+// Guards against an owner that writes its refusal once more before the next answer: the request, which is sent again with
+// the same ID, must not be reported as refused while it runs, nor run at another upstream.
+func TestRepeatedRefusalOfAnOwnerIsIgnored(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	owner := newFakeUpstream(t, func(c net.Conn, n int, r *http.Request) {
+		if n == 1 {
+			writeResponse(c, r, "421 Misdirected", "X-Not-Run: 1\r\n", "")
+			time.Sleep(20 * time.Millisecond)
+			writeResponse(c, r, "421 Misdirected", "X-Not-Run: 1\r\n", "")
+			return
+		}
+		respondOK(c, n, r)
+	})
+	f.setTable(1, true, newUpstream("u1", owner))
+	is.Equal(f.do("GET", "/s/1", "").StatusCode, http.StatusOK)
+	is.Equal(owner.requestCount(), 2)
+}
--- a/internal/pipe/conn.go
+++ b/internal/pipe/conn.go
@@ -46,6 +46,8 @@
 type limitedReader struct {
 	r    io.Reader
 	left int64
+	// ended is true once the peer has closed or reset the connection.
+	ended bool
 }
 
 // Read implements io.Reader.
@@ -60,6 +62,7 @@
 	if l.left > 0 {
 		l.left -= int64(n)
 	}
+	l.ended = l.ended || isConnectionEnd(err)
 	return n, err
 }
 
--- a/internal/pipe/pipe_test.go
+++ b/internal/pipe/pipe_test.go
@@ -319,3 +319,40 @@
 	_ = l.Close()
 	is.Equal(p.Probe(t.Context(), l.Addr().String()), pipe.LivenessRefused)
 }
+
+// Guards against a response that ends in its head, or in a body of known length, and is taken for a whole one.
+func TestResponseCutOffAnywhereIsRejected(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Signed: s\r\nKeep-Alive: timeout=5\r\n"
+	for name, c := range map[string]struct {
+		response string
+		// cuts is the number of bytes after which the response may end at the latest and still be incomplete.
+		cuts int
+	}{
+		"length":   {head + "Content-Length: 12\r\n\r\ntwelve bytes", len(head) + 34},
+		"chunked":  {head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", len(head) + 42},
+		"unframed": {head + "Connection: close\r\n\r\nbody", len(head) + 20},
+		"interim":  {"HTTP/1.1 100 Continue\r\n\r\n" + head + "Content-Length: 0\r\n\r\n", 25 + len(head) + 20},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPool()
+			for n := range c.cuts {
+				address, _ := startUpstream(t, func(conn net.Conn, _ int, _ *http.Request) {
+					writeString(conn, c.response[:n])
+					_ = conn.Close()
+				})
+				resp, failure := p.Send(context.Background(), newRequest(address, "1"))
+				if resp != nil || failure == nil || failure.Stage != pipe.StageUnknown {
+					t.Fatalf("cut after %d bytes: %v, %v", n, resp, failure)
+				}
+				is.True(failure.Broken)
+			}
+			address, _ := startUpstream(t, func(conn net.Conn, _ int, _ *http.Request) {
+				writeString(conn, c.response)
+				_ = conn.Close()
+			})
+			_, failure := p.Send(context.Background(), newRequest(address, "1"))
+			is.True(failure == nil)
+		})
+	}
+}
--- a/internal/pipe/send.go
+++ b/internal/pipe/send.go
@@ -111,7 +111,14 @@
 }
 
 func unknownFailure(reason string, err error) *Failure {
-	return &Failure{Stage: StageUnknown, Reason: reason, ConnFailed: true, Broken: isConnectionEnd(err), Err: err}
+	return &Failure{Stage: StageUnknown, Reason: reason, ConnFailed: true, Err: err}
+}
+
+// brokenFailure returns the failure of a read, which the end of the connection may have caused.
+func (c *conn) brokenFailure(reason string, err error) *Failure {
+	failure := unknownFailure(reason, err)
+	failure.Broken = c.limit.ended
+	return failure
 }
 
 // isConnectionEnd reports whether a read failed because the peer closed or reset the connection.
@@ -126,7 +133,7 @@
 		p.updateStats(func(s *Stats) { s.OversizedResponses++ })
 	}
 	if err != nil {
-		return nil, false, unknownFailure("connection broke after the send", err)
+		return nil, false, c.brokenFailure("connection broke after the send", err)
 	}
 	complete := false
 	defer func() {
@@ -147,7 +154,7 @@
 	body, err := io.ReadAll(io.LimitReader(resp.Body, p.cfg.MaxResponseBytes+1))
 	switch {
 	case err != nil:
-		return nil, false, unknownFailure("answer is truncated", err)
+		return nil, false, c.brokenFailure("answer is truncated", err)
 	case int64(len(body)) > p.cfg.MaxResponseBytes:
 		p.updateStats(func(s *Stats) { s.OversizedResponses++ })
 		return nil, false, unknownFailure("answer is too large", nil)
