Keep the quarantine of crashing requests in the replicated state

If all replicas and hosts were killed at the same moment, nobody knew the request any more: 8 crashes, 4 of them late, where 3 are allowed (soak.TestCrashingRequestIsStopped/all_daemons_killed, failed before). The leader now proposes the content that it quarantines or clears, and a new leader starts from the state.

--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -163,6 +163,9 @@
 	// Routes is in the order of SortRoutes.
 	Routes []Route `json:"routes,omitempty"`
 	Bounds Bounds  `json:"bounds"`
+	// Quarantined holds the end of the quarantine of content that crashes upstreams, by fingerprint, in milliseconds since
+	// the Unix epoch.
+	Quarantined map[string]int64 `json:"quarantined,omitempty"`
 	// Members is the leader's view of the group. It is set only while an intent is being planned or confirmed.
 	Members []Member `json:"-"`
 }
@@ -323,6 +326,22 @@
 	return &c
 }
 
+// WithQuarantine returns a copy in which the content is quarantined until the time, in milliseconds since the Unix epoch, or
+// not quarantined if that is 0.
+func (s *State) WithQuarantine(fingerprint string, untilMs int64) *State {
+	c := *s
+	c.Quarantined = maps.Clone(s.Quarantined)
+	if untilMs == 0 {
+		delete(c.Quarantined, fingerprint)
+		return &c
+	}
+	if c.Quarantined == nil {
+		c.Quarantined = map[string]int64{}
+	}
+	c.Quarantined[fingerprint] = untilMs
+	return &c
+}
+
 // WithLimit returns a copy with the limit set, or removed if its rate is not positive.
 func (s *State) WithLimit(l Limit) *State {
 	c := *s
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -421,6 +421,7 @@
 	if n.planner == nil || n.plannerTerm != n.raft.Term() {
 		n.planner, n.plannerTerm = owner.New(n.cfg.Planner, n.cfg.Clock()), n.raft.Term()
 		n.suspects = newSuspects(n.plannerTerm)
+		n.suspects.adopt(n.cfg.Clock(), n.cfg.WallMs(), n.state.Model().Quarantined)
 		n.published = nil
 		n.cfg.Log.Info("became leader", "term", n.plannerTerm)
 	}
@@ -437,7 +438,8 @@
 	if len(commands) == 0 {
 		n.plannerMu.Lock()
 		if n.planner != nil {
-			commands = n.planner.Tick(now, n.state.Model())
+			commands = append(n.planner.Tick(now, n.state.Model()),
+				n.suspects.quarantineCommands(now, n.cfg.WallMs(), n.state.Model().Quarantined)...)
 		}
 		n.plannerMu.Unlock()
 	}
--- a/internal/node/suspects.go
+++ b/internal/node/suspects.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"baobabreach/internal/owner"
 	"baobabreach/internal/poison"
+	"baobabreach/internal/state"
 	"baobabreach/pkg/proto"
 )
 
@@ -19,6 +22,8 @@
 	acknowledged map[string]acknowledgedList
 	// acksChanged is closed and replaced with each renewal that acknowledges a new list.
 	acksChanged chan struct{}
+	// recordedVersion is the version of the list whose quarantined content the replicated state has.
+	recordedVersion uint64
 }
 
 // acknowledgedList is the version of the list that a host uses until its routing lease ends.
@@ -34,6 +39,43 @@
 	}
 }
 
+// quarantineCommands returns the commands that bring the quarantined content of the state up to date with the tracker. wallMs
+// is the leader's wall clock in milliseconds since the Unix epoch.
+func (s *suspects) quarantineCommands(now time.Duration, wallMs int64, recorded map[string]int64) []state.Command {
+	version := s.tracker.Version(now)
+	if version == s.recordedVersion {
+		return nil
+	}
+	var out []state.Command
+	current := map[string]bool{}
+	for _, q := range s.tracker.QuarantinedByRuns(now) {
+		current[q.Fingerprint] = true
+		if _, ok := recorded[q.Fingerprint]; !ok {
+			out = append(out, state.Command{Quarantine: &state.Quarantine{
+				Fingerprint: q.Fingerprint, UntilMs: wallMs + q.RemainingMs,
+			}})
+		}
+	}
+	for _, f := range slices.Sorted(maps.Keys(recorded)) {
+		if !current[f] {
+			out = append(out, state.Command{Quarantine: &state.Quarantine{Fingerprint: f}})
+		}
+	}
+	if len(out) == 0 {
+		s.recordedVersion = version
+	}
+	return out
+}
+
+// adopt quarantines the content of the replicated state.
+func (s *suspects) adopt(now time.Duration, wallMs int64, recorded map[string]int64) {
+	var quarantined []poison.Quarantine
+	for _, f := range slices.Sorted(maps.Keys(recorded)) {
+		quarantined = append(quarantined, poison.Quarantine{Fingerprint: f, RemainingMs: recorded[f] - wallMs})
+	}
+	s.tracker.Adopt(now, quarantined)
+}
+
 func (s *suspects) acknowledge(now, ttl time.Duration, r owner.Renewal) {
 	old := s.acknowledged[r.Daemon.Host]
 	s.acknowledged[r.Daemon.Host] = acknowledgedList{version: r.SuspectsVersion, until: now + proto.WithDrift(ttl)}
--- a/internal/poison/chains_test.go
+++ b/internal/poison/chains_test.go
@@ -335,3 +335,16 @@
 	crashAfterCrash(first, now, 4)
 	is.Equal(len(first.List(now+2*time.Second).Quarantined), 1)
 }
+
+// Guards against quarantined content that a leader forgets which starts from the replicated state.
+func TestAdoptedQuarantineIsListed(t *testing.T) {
+	is := is.New(t)
+	tracker := poison.NewTracker(poison.FirstVersion(3))
+	version := tracker.Version(time.Hour)
+	tracker.Adopt(time.Hour, []poison.Quarantine{
+		{Fingerprint: poisonContent, RemainingMs: 60_000}, {Fingerprint: "over", RemainingMs: -1},
+	})
+	is.True(tracker.Version(time.Hour) != version)
+	is.Equal(len(tracker.List(time.Hour).Quarantined), 1)
+	is.Equal(len(tracker.List(time.Hour+61*time.Second).Quarantined), 0)
+}
--- a/internal/poison/runs.go
+++ b/internal/poison/runs.go
@@ -53,9 +53,7 @@
 // because of it.
 func (t *Tracker) ReportRuns(now time.Duration, r RunReport) []Conviction {
 	var out []Conviction
-	for _, q := range r.Quarantined {
-		t.chains.Adopt(now, q)
-	}
+	t.Adopt(now, r.Quarantined)
 	for _, crash := range r.Crashes {
 		out = append(out, t.chains.Record(now, crash.crash(now, r.Host))...)
 	}
@@ -66,6 +64,17 @@
 	return out
 }
 
+// Adopt quarantines content that an earlier leader had quarantined.
+func (t *Tracker) Adopt(now time.Duration, quarantined []Quarantine) {
+	for _, q := range quarantined {
+		t.chains.Adopt(now, q)
+	}
+	t.countChainChanges()
+}
+
+// QuarantinedByRuns returns the content that is quarantined because of reported runs.
+func (t *Tracker) QuarantinedByRuns(now time.Duration) []Quarantine { return t.chains.Quarantined(now) }
+
 // RecordReport notes that an upstream process has reported to the leader. It returns true if content is no longer
 // quarantined, because its crashes included one of this process.
 func (t *Tracker) RecordReport(now time.Duration, p Process) bool {
--- a/internal/soak/crash.go
+++ b/internal/soak/crash.go
@@ -173,6 +173,15 @@
 // RestartReplicas kills all replicas at once and starts them again.
 func (r *Run) RestartReplicas() error { return r.killReplicas() }
 
+// RestartAll kills all daemons at once and starts them again.
+func (r *Run) RestartAll() error {
+	r.recordEvent("kill all daemons")
+	for _, h := range r.fleet.Hosts {
+		h.Kill()
+	}
+	return r.fleet.RestoreAll()
+}
+
 // RestartEntryHosts kills one entry host after the other and starts it again.
 func (r *Run) RestartEntryHosts() error {
 	for _, h := range r.fleet.EntryHosts() {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -110,6 +110,10 @@
 			Name: "all replicas killed", Method: http.MethodPost, Service: "orders", Duration: 16 * time.Second,
 			Disturb: (*soak.Run).RestartReplicas,
 		},
+		{
+			Name: "all daemons killed", Method: http.MethodGet, Service: "orders", Duration: 20 * time.Second,
+			Disturb: (*soak.Run).RestartAll,
+		},
 	} {
 		t.Run(crash.Name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -31,6 +31,14 @@
 	Confirm      *ConfirmIntent  `json:"confirm,omitempty"`
 	SplitInPlace *SplitInPlace   `json:"cut,omitempty"`
 	Items        *model.Change   `json:"items,omitempty"`
+	Quarantine   *Quarantine     `json:"quarantine,omitempty"`
+}
+
+// Quarantine starts or ends the quarantine of content that crashes upstreams.
+type Quarantine struct {
+	Fingerprint string `json:"fingerprint"`
+	// UntilMs is the end of the quarantine by the leader's wall clock in milliseconds since the Unix epoch, or 0 to end it.
+	UntilMs int64 `json:"until_ms"`
 }
 
 // Claim requests the right to send a non-idempotent request.
@@ -149,7 +157,7 @@
 		return Result{Applied: true, Claim: &r}
 	case c.Register != nil || c.Remove != nil || c.Leave != nil:
 		return m.applyUpstream(index, c)
-	case c.Service != nil || c.Limit != nil || c.Items != nil:
+	case c.Service != nil || c.Limit != nil || c.Items != nil || c.Quarantine != nil:
 		return m.applySettings(c)
 	case c.isRangeCommand():
 		return m.applyRange(index, c)
@@ -181,6 +189,8 @@
 		return m.setModel(m.model.WithService(*c.Service))
 	case c.Limit != nil:
 		return m.setModel(m.model.WithLimit(*c.Limit))
+	case c.Quarantine != nil:
+		return m.setModel(m.model.WithQuarantine(c.Quarantine.Fingerprint, c.Quarantine.UntilMs))
 	}
 	return m.changeItems(*c.Items)
 }
