--- a/internal/node/suspects.go
+++ b/internal/node/suspects.go
@@ -39,8 +39,8 @@
 	}
 }
 
-// quarantineCommands returns the commands that bring the quarantined content of the state up to date with the tracker. wallMs
-// is the leader's wall clock in milliseconds since the Unix epoch.
+// quarantineCommands returns the commands that bring the quarantined content of the state up to date with the tracker.
+// wallMs is the leader's wall clock in milliseconds since the Unix epoch.
 func (s *suspects) quarantineCommands(now time.Duration, wallMs int64, recorded map[string]int64) []state.Command {
 	version := s.tracker.Version(now)
 	if version == s.recordedVersion {
