Test four more ways in which a request crashes upstreams

Successors with the same ID, crashes after 100 ms of work, another query each time, an address that still accepts connections, and upstreams that fall silent without closing any.

--- a/internal/soak/crash.go
+++ b/internal/soak/crash.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -36,12 +37,33 @@
 	Method, Service string
 	// Duration is how long the request is repeated.
 	Duration time.Duration
+	// End is how the upstreams end.
+	End CrashEnd
+	// RunTime is how long an upstream runs the request before it ends.
+	RunTime time.Duration
+	// SameID lets the successors have the IDs of the upstreams that ended.
+	SameID bool
+	// NewQuery gives each request a query of its own.
+	NewQuery bool
 	// Disturb is called halfway, or not at all if it is nil.
 	Disturb func(r *Run) error
 }
 
+// CrashEnd is how an upstream ends that runs the crashing request.
+type CrashEnd string
+
+const (
+	// CrashCloses closes all connections and the listener.
+	CrashCloses CrashEnd = ""
+	// CrashAccepts closes all connections, while something goes on accepting and closing connections at the address.
+	CrashAccepts CrashEnd = "accepts"
+	// CrashSilent closes nothing: the upstream answers no request any more.
+	CrashSilent CrashEnd = "silent"
+)
+
 // crashRecorder counts the crashes that one request caused.
 type crashRecorder struct {
+	cfg   CrashConfig
 	mu    sync.Mutex
 	times []time.Time
 }
@@ -68,7 +90,7 @@
 // other services. It is a violation if the request still reaches upstreams once the fleet had time to stop it.
 func RunCrashingRequest(cfg Config, crash CrashConfig) (*Run, []string, error) {
 	r := newRun(cfg, 1)
-	recorder := &crashRecorder{}
+	recorder := &crashRecorder{cfg: crash}
 	return r.run(func(ctx context.Context) error {
 		r.group.SetCrash(recorder.crash)
 		for range crashTestOrders - orderUpstreams {
@@ -106,6 +128,9 @@
 
 // sendCrashing sends the request that crashes upstreams and returns the status of the response, or 0 without one.
 func (r *Run) sendCrashing(ctx context.Context, c *http.Client, h *Host, crash CrashConfig, id string) int {
+	if crash.NewQuery {
+		return r.sendRepeated(ctx, c, h, crash, crashTarget+"?page="+id, id)
+	}
 	return r.sendRepeated(ctx, c, h, crash, crashTarget, id)
 }
 
@@ -139,12 +164,49 @@
 // crash ends an upstream that runs the crashing request and starts its successor at the same address later.
 func (r *crashRecorder) crash(u *Upstream) {
 	r.record()
-	u.Kill()
+	time.Sleep(r.cfg.RunTime)
+	endAccepting := func() {}
+	switch r.cfg.End {
+	case CrashSilent:
+		u.fallSilent()
+	case CrashAccepts:
+		u.Kill()
+		endAccepting = acceptAndClose(u.address)
+	default:
+		u.Kill()
+	}
 	time.AfterFunc(crashDowntime, func() {
-		name, _, _ := strings.Cut(u.id, "_")
+		u.Kill()
+		endAccepting()
+		id, _, _ := strings.Cut(u.id, "_")
+		if !r.cfg.SameID {
+			id = fmt.Sprintf("%s_%d", id, time.Now().UnixMilli())
+		}
 		// An error means that the run has ended.
-		_, _ = u.group.Start(fmt.Sprintf("%s_%d", name, time.Now().UnixMilli()), u.service, u.address, u.address, u.keyed)
+		_, _ = u.group.Start(id, u.service, u.address, u.address, u.keyed)
 	})
+	if r.cfg.End == CrashSilent {
+		<-u.ctx.Done()
+		time.Sleep(crashDowntime)
+	}
+}
+
+// acceptAndClose accepts connections at the address and closes them, until the returned function is called.
+func acceptAndClose(address string) func() {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return func() {}
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_ = c.Close()
+		}
+	}()
+	return func() { _ = l.Close() }
 }
 
 // KillLeader kills the replica that leads and starts it again.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -110,6 +110,21 @@
 			Name: "all replicas killed", Method: http.MethodPost, Service: "orders", Duration: 16 * time.Second,
 			Disturb: (*soak.Run).RestartReplicas,
 		},
+		{
+			Name: "same ID after 100 ms", Method: http.MethodGet, Service: "orders", Duration: 12 * time.Second, SameID: true,
+			RunTime: 100 * time.Millisecond,
+		},
+		{
+			Name: "other query each time", Method: http.MethodGet, Service: "orders", Duration: 12 * time.Second, NewQuery: true,
+		},
+		{
+			Name: "address still accepts", Method: http.MethodPost, Service: "orders", Duration: 16 * time.Second,
+			End: soak.CrashAccepts,
+		},
+		{
+			Name: "upstreams fall silent", Method: http.MethodPost, Service: "orders", Duration: 24 * time.Second,
+			End: soak.CrashSilent,
+		},
 		{
 			Name: "all daemons killed", Method: http.MethodGet, Service: "orders", Duration: 20 * time.Second,
 			Disturb: (*soak.Run).RestartAll,
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -84,7 +84,9 @@
 	// upstream as the token for the next holder.
 	released         [][]any
 	killed, draining bool
-	drainAckedAt     time.Time
+	// silent is true if the upstream answers no request.
+	silent       bool
+	drainAckedAt time.Time
 	// saysLeaving is true if the answers say that the upstream leaves, while its reports say that it is ready. leavingSince is
 	// the time of the first such answer.
 	saysLeaving  bool
@@ -129,6 +131,14 @@
 	_ = u.server.Close()
 }
 
+// fallSilent stops the reports and lets all requests wait, without closing a connection.
+func (u *Upstream) fallSilent() {
+	u.mu.Lock()
+	u.silent, u.ranges = true, nil
+	u.mu.Unlock()
+	u.cancel()
+}
+
 // Drain makes the following reports announce a drain. The upstream stops serveAfterDrain after the acknowledgement.
 func (u *Upstream) Drain() {
 	u.mu.Lock()
@@ -254,8 +264,12 @@
 		return
 	}
 	u.mu.Lock()
-	drainAckedAt := u.drainAckedAt
+	drainAckedAt, silent := u.drainAckedAt, u.silent
 	u.mu.Unlock()
+	if silent {
+		<-r.Context().Done()
+		return
+	}
 	if !drainAckedAt.IsZero() {
 		u.group.checker.CheckDrained(id, u.id, time.Since(drainAckedAt))
 	}
