Refuse keyed requests at once if all upstreams of the service leave

They waited three quarters of the objective for a next owner that could not exist. gate.TestKeyWithoutPossibleOwnerIsRefusedAtOnce fails without the check. Reports to a leader of an earlier build, which does not know their paths, are no longer repeated, and failed ones are logged once.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -25,6 +25,7 @@
 	"baobabreach/internal/pipe"
 	"baobabreach/internal/poison"
 	"baobabreach/internal/route"
+	"baobabreach/pkg/proto"
 
 	"github.com/go-faster/errors"
 	"github.com/gorilla/mux"
@@ -197,6 +198,16 @@
 	})
 }
 
+// reportToLeader sends a report to the leader. A leader of an earlier build does not know the path; repeating the report
+// would be in vain.
+func reportToLeader[Q any](ctx context.Context, l *peer.LeaderClient, path string, report Q) error {
+	_, err := peer.CallLeader[Q, struct{}](ctx, l, path, renewTimeout, report)
+	if err != nil && peer.AsError(err).Code == proto.CodeNotFound {
+		return nil
+	}
+	return err
+}
+
 // reportLeaving returns a function that tells the leader which upstreams leave.
 func reportLeaving(l *peer.LeaderClient) func(ctx context.Context, upstreams []model.Upstream) error {
 	return func(ctx context.Context, upstreams []model.Upstream) error {
@@ -204,8 +215,7 @@
 		for _, u := range upstreams {
 			processes = append(processes, owner.Process{Name: u.Name, Incarnation: u.Incarnation})
 		}
-		_, err := peer.CallLeader[[]owner.Process, struct{}](ctx, l, peer.PathLeaving, renewTimeout, processes)
-		return err
+		return reportToLeader(ctx, l, peer.PathLeaving, processes)
 	}
 }
 
@@ -215,8 +225,7 @@
 	return gate.NewCrashGuard(gate.CrashGuardConfig{
 		Host: cfg.Host, Clock: now, Probe: p.Probe, View: v, Log: logs.ForComponent(log, "gate"),
 		Report: func(ctx context.Context, r poison.RunReport) error {
-			_, err := peer.CallLeader[poison.RunReport, struct{}](ctx, l, peer.PathRuns, renewTimeout, r)
-			return err
+			return reportToLeader(ctx, l, peer.PathRuns, r)
 		},
 	})
 }
--- a/internal/gate/crash.go
+++ b/internal/gate/crash.go
@@ -55,6 +55,8 @@
 	crashes     []poison.Crash
 	survived    []string
 	quarantined []poison.Quarantine
+	// reportFails is true from the first report that failed to the next that did not.
+	reportFails bool
 	stats       CrashStats
 }
 
@@ -281,12 +283,14 @@
 	ctx, cancel := context.WithTimeout(ctx, crashReportTimeout)
 	defer cancel()
 	err := g.cfg.Report(ctx, r)
-	if err == nil {
-		return true
-	}
-	g.cfg.Log.Warn("crashes could not be reported", "crashes", len(crashes), "error", err)
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if err != nil && !g.reportFails {
+		g.cfg.Log.Warn("crashes could not be reported", "crashes", len(crashes), "error", err)
+	}
+	if g.reportFails = err != nil; !g.reportFails {
+		return true
+	}
 	g.crashes = limitLength(append(crashes, g.crashes...))
 	g.survived = limitLength(append(survived, g.survived...))
 	g.quarantined = limitLength(append(quarantined, g.quarantined...))
--- a/internal/gate/fixture_test.go
+++ b/internal/gate/fixture_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"io"
 	"log/slog"
@@ -185,7 +186,7 @@
 		},
 	}
 	for i, u := range us {
-		u.Service = "orders"
+		u.Service = cmp.Or(u.Service, "orders")
 		t.Upstreams[u.Name] = u
 		width := ^uint64(0)/uint64(len(us)) + 1
 		if len(us) == 1 {
--- a/internal/gate/keyed.go
+++ b/internal/gate/keyed.go
@@ -63,7 +63,7 @@
 	case AdmissionWait:
 		return proto.CodeOverloaded, "the owner of the key had no room in time"
 	case AdmissionTurnedAway:
-		return proto.CodeOverloaded, "the owner of the key has asked for no requests for a while"
+		return proto.CodeOverloaded, "the owner of the key wants no requests for a while, or all upstreams of the service leave"
 	case AdmissionUnreachable:
 		return proto.CodeNoUpstream, "the data centre of the owner of the key can't be reached"
 	}
@@ -106,6 +106,11 @@
 				}
 			}
 			admission = c.gate.cfg.Picker.Acquire(c.now(), target.Upstream, waitingFor.Name != "")
+		} else if c.noneAccepts(t) {
+			// The key can't move to an upstream that would run the request.
+			cancelWait()
+			c.retryAfter = leavingRetryAfter
+			return target, changed, AdmissionTurnedAway, choice{}
 		}
 		switch admission {
 		case AdmissionGranted:
@@ -128,6 +133,21 @@
 	return owner.Name != "" && c.gate.cfg.View.MayRouteTo(c.now(), owner) && c.gate.notices.mayRouteTo(c.now(), owner)
 }
 
+// noneAccepts reports whether the service has upstreams that all leave or turn requests away.
+func (c *call) noneAccepts(t *route.Table) bool {
+	known := false
+	for _, u := range t.Upstreams {
+		if u.Service != c.service {
+			continue
+		}
+		if t.AcceptsWork(u) && c.gate.notices.accepts(c.now(), u) {
+			return false
+		}
+		known = true
+	}
+	return known
+}
+
 // admissionPollInterval is the interval between checks whether the owner of a key can take a waiting request.
 const admissionPollInterval = 15 * time.Millisecond
 
--- a/internal/gate/notice_test.go
+++ b/internal/gate/notice_test.go
@@ -62,6 +62,27 @@
 	is.Equal(f.do(http.MethodGet, "/s/1", "").StatusCode, http.StatusOK)
 }
 
+// Guards against requests for a key that wait for a next owner although all upstreams of the service leave.
+func TestKeyWithoutPossibleOwnerIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	u1, u2 := newUpstream("u1", newFakeUpstream(t, respondLeaving)), newUpstream("u2", newFakeUpstream(t, respondOK))
+	u1.Service, u2.Service = "styles", "styles"
+	f.setTable(1, true, u1)
+	is.Equal(f.do(http.MethodGet, "/s/1", "").StatusCode, http.StatusOK)
+	f.advance(1700 * time.Millisecond)
+	startedAt := f.clock()
+	resp := f.do(http.MethodGet, "/s/1", "")
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(resp.Header.Get("Retry-After"), "1.000")
+	is.True(f.clock()-startedAt < 200*time.Millisecond) // it may wait for 300 ms if the key can move
+
+	startedAt = f.clock()
+	f.setTable(2, true, u1, u2)
+	is.Equal(f.do(http.MethodGet, "/s/1", "").StatusCode, http.StatusServiceUnavailable)
+	is.True(f.clock()-startedAt >= 300*time.Millisecond)
+}
+
 // Guards against an upstream whose leave only one host knows of: the others go on using it, and its keys do not move.
 func TestLeavingAnswerIsReportedToTheLeader(t *testing.T) {
 	is := is.New(t)
