Soak planned work that overlaps

Stops of two entry hosts and a replica at the same time, hangups, changes of the configuration and drained upstreams, under callers that keep their connections.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -90,6 +90,25 @@
 	}
 }
 
+// Guards against requests that are cut off where planned work overlaps: stops of several hosts, hangups, changes of the
+// configuration and drained upstreams. SOAK_SEED and SOAK_SEEDS select the schedules.
+func TestOverlappingWorkCutsNothingOff(t *testing.T) {
+	daemonPath := buildDaemon(t)
+	first, count := envUint("SOAK_SEED", 1), envUint("SOAK_SEEDS", 1)
+	for i := range count {
+		cfg := soak.Config{
+			DaemonPath: daemonPath, Dir: t.TempDir(), LoopbackOctet: 2 + 2*((os.Getpid()+20+int(i))%120), EntryHosts: 4,
+		}
+		run, violations, err := soak.RunOverlappingWork(cfg, first+i)
+		answered, failed := run.Counts()
+		t.Logf("seed %d: %d answered, %d failed", first+i, answered, failed)
+		if err != nil || len(violations) > 0 {
+			t.Errorf("seed %d: %v\nviolations:\n%s\nevents:\n%s\nlogs in %s", first+i, err, strings.Join(violations, "\n"),
+				strings.Join(run.Events, "\n"), keepLogs(t, cfg.Dir))
+		}
+	}
+}
+
 // Guards against a request that crashes every upstream that runs it and is sent to one upstream after the other: the report
 // of the incident named BUDGET.
 func TestCrashingRequestIsStopped(t *testing.T) {
