Bound the use of leaving owners by the drain time of the platform

The new setting drain_time shortens it to 0.8 of that time; nothing changes at 2 s and above. gate.TestShortDrainTimeEndsTheUseOfOwnersEarlier needs the setting, so it was not run on the code before.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -81,6 +81,8 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// DrainTime is how long an upstream goes on serving after it said that it leaves; positive.
+	DrainTime time.Duration
 	// MemoryMB is the memory limit of the process in MiB.
 	MemoryMB int64
 	// ToleratedLosses is the number of replicas that may be lost together, with their disks.
--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -44,6 +44,7 @@
 		RetryRatio:      r.nonNegativeFloat("retry_ratio", 0.1),
 		RetrySlack:      r.nonNegativeFloat("retry_slack", 16),
 		RetryWindow:     r.duration(gatewaySection, "retry_window", 10*time.Second),
+		DrainTime:       r.duration(gatewaySection, "drain_time", 2*time.Second),
 		MemoryMB:        r.integer(gatewaySection, "memory_mb", 256, 16, 1<<20),
 		ToleratedLosses: int(r.integer(gatewaySection, "tolerated_losses", 1, 0, 16)),
 	}
@@ -67,6 +68,9 @@
 	if g.Heartbeat <= 0 {
 		r.addProblem(gatewaySection, "heartbeat", "0", "a positive duration")
 	}
+	if g.DrainTime <= 0 {
+		r.addProblem(gatewaySection, "drain_time", "0", "a positive duration")
+	}
 	maxTTL := r.duration(gatewaySection, "max_grant_ttl", 10*time.Second)
 	minTTL := time.Duration(minHeartbeatsPerGrant * float64(g.Heartbeat))
 	g.GrantTTL = min(maxTTL, max(minTTL, r.duration(gatewaySection, "grant_ttl", defaultGrantTTL)))
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -34,7 +34,7 @@
 	"access":    {"operator_token_file", "control_token_file"},
 	"gateway": {
 		"ready", "registry", "seeds", "first_start", "heartbeat", "grant_ttl", "max_grant_ttl", "retry_ratio", "retry_slack",
-		"retry_window", "memory_mb", "tolerated_losses",
+		"retry_window", "drain_time", "memory_mb", "tolerated_losses",
 	},
 }
 
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -132,7 +132,7 @@
 		fx.StopTimeout(cfg.BalancerDelay+cfg.StopTimeout+stopMargin),
 		fx.Supply(cfg, dial, adapter),
 		fx.Provide(
-			newGatewayLogger, newClock, newTokens, newClients, newSeedLeaderClient, metric.New, route.NewView, newLocalReplica,
+			newGatewayLogger, newClock, newTokens, newClients, newSeedLeaderClient, metric.New, newGatewayView, newLocalReplica,
 			newRenewer, limit.NewHostLimiter, newCrashGuard, suspectsOfGate, newAuditRing, newGate, newPipePool,
 			newReplicaDirectory, newRegistry, newBrokerSocket,
 		),
@@ -173,6 +173,12 @@
 	return l, nil
 }
 
+func newGatewayView(cfg config.Config) *route.View {
+	v := route.NewView()
+	v.SetDrainTime(cfg.Gateway.DrainTime)
+	return v
+}
+
 func newSeedLeaderClient(cfg config.Config, c clients, t tokens) *peer.LeaderClient {
 	return peer.NewLeaderClient(c.control, t.control, seedAddresses(cfg))
 }
--- a/internal/gate/keyed.go
+++ b/internal/gate/keyed.go
@@ -130,7 +130,9 @@
 
 // mayRouteTo reports whether the owner of a key exists and still gets requests if it leaves.
 func (c *call) mayRouteTo(owner model.Upstream) bool {
-	return owner.Name != "" && c.gate.cfg.View.MayRouteTo(c.now(), owner) && c.gate.notices.mayRouteTo(c.now(), owner)
+	view := c.gate.cfg.View
+	return owner.Name != "" && view.MayRouteTo(c.now(), owner) &&
+		c.gate.notices.mayRouteTo(c.now(), owner, view.LeavingGrace())
 }
 
 // noneAccepts reports whether the service has upstreams that all leave or turn requests away.
--- a/internal/gate/notice.go
+++ b/internal/gate/notice.go
@@ -70,12 +70,12 @@
 	return max(0, n.pausedUntil[processOf(u)]-now)
 }
 
-// mayRouteTo returns false for the owner of a key that has left by its own word.
-func (n *notices) mayRouteTo(now time.Duration, u model.Upstream) bool {
+// mayRouteTo returns false for the owner of a key that said longer than grace ago that it leaves.
+func (n *notices) mayRouteTo(now time.Duration, u model.Upstream, grace time.Duration) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	l, ok := n.leavingSince[processOf(u)]
-	return !ok || now < l.since+route.LeavingGracePeriod
+	return !ok || now < l.since+grace
 }
 
 // accepting returns the upstreams that neither leave nor want a pause. If there is none, it returns the time after which
--- a/internal/gate/notice_test.go
+++ b/internal/gate/notice_test.go
@@ -62,6 +62,19 @@
 	is.Equal(f.do(http.MethodGet, "/s/1", "").StatusCode, http.StatusOK)
 }
 
+// Guards against requests for an owner that leaves, on a platform where it goes on serving for a shorter time.
+func TestShortDrainTimeEndsTheUseOfOwnersEarlier(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.view.SetDrainTime(time.Second)
+	owner := newFakeUpstream(t, respondLeaving)
+	f.setTable(1, true, newUpstream("u1", owner))
+	is.Equal(f.do(http.MethodGet, "/s/1", "").StatusCode, http.StatusOK)
+	f.advance(900 * time.Millisecond)
+	is.Equal(f.do(http.MethodGet, "/s/1", "").StatusCode, http.StatusServiceUnavailable)
+	is.Equal(owner.requestCount(), 1)
+}
+
 // Guards against requests for a key that wait for a next owner although all upstreams of the service leave.
 func TestKeyWithoutPossibleOwnerIsRefusedAtOnce(t *testing.T) {
 	is := is.New(t)
--- a/internal/route/view.go
+++ b/internal/route/view.go
@@ -28,6 +28,8 @@
 	// leavingSince is the earliest time at which each leaving upstream of the table may have started to leave, by name. Its
 	// grace period starts then.
 	leavingSince map[string]time.Duration
+	// leavingGrace is the grace period of owners that leave.
+	leavingGrace time.Duration
 	// provisional is true for a table that did not come from a leader.
 	provisional bool
 	// reportedAt is the time of the last load report.
@@ -38,10 +40,28 @@
 func NewView() *View {
 	return &View{
 		table: &Table{}, inFlight: map[uint64]int{}, changed: make(chan struct{}), meter: newLoadMeter(),
-		leavingSince: map[string]time.Duration{},
+		leavingSince: map[string]time.Duration{}, leavingGrace: defaultLeavingGrace,
 	}
 }
 
+// leavingGraceShare is the share of the time for which a leaving upstream goes on serving in which it gets requests.
+const leavingGraceShare = 0.8
+
+// SetDrainTime sets the time for which a leaving upstream goes on serving. It shortens the grace period of owners that leave
+// if it is short.
+func (v *View) SetDrainTime(d time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.leavingGrace = min(defaultLeavingGrace, time.Duration(leavingGraceShare*float64(d)))
+}
+
+// LeavingGrace returns how long the owner of a key still gets requests once this host knows that it leaves.
+func (v *View) LeavingGrace() time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.leavingGrace
+}
+
 // Update is the content of the answer to a lease renewal.
 type Update struct {
 	// TTL is counted from the time at which the renewal was sent.
@@ -113,9 +133,9 @@
 	// maxUpdateGap is the longest time between two renewals of a host that follows all changes: a renewal waits up to 1 s
 	// for a change, and its answer has to arrive.
 	maxUpdateGap = 1500 * time.Millisecond
-	// LeavingGracePeriod is how long the owner of a key still gets requests after the host sent the renewal whose answer
+	// defaultLeavingGrace is how long the owner of a key still gets requests after the host sent the renewal whose answer
 	// reported that the owner is leaving. The owner keeps serving for 2 s after its announcement was acknowledged.
-	LeavingGracePeriod = 1600 * time.Millisecond
+	defaultLeavingGrace = 1600 * time.Millisecond
 )
 
 // updateLeavingSince records when the upstreams of a new table may have started to leave. A host that has not followed all
@@ -132,13 +152,13 @@
 		}
 		v.leavingSince[name] = sentAt
 		if !upToDate {
-			v.leavingSince[name] = sentAt - LeavingGracePeriod
+			v.leavingSince[name] = sentAt - v.leavingGrace
 		}
 	}
 }
 
 // MayRouteTo reports whether the owner of a key may still get requests for it. An owner that leaves gets them only for
-// LeavingGracePeriod.
+// the grace period.
 func (v *View) MayRouteTo(now time.Duration, u model.Upstream) bool {
 	if u.LeavingSince == 0 {
 		return true
@@ -146,7 +166,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	since, ok := v.leavingSince[u.Name]
-	return ok && now < since+LeavingGracePeriod
+	return ok && now < since+v.leavingGrace
 }
 
 // Table returns the current table and a channel that is closed when a newer one arrives.
