--- a/internal/poison/chains.go
+++ b/internal/poison/chains.go
@@ -83,6 +83,8 @@
 // a run in between that the upstream survived. It is not safe for concurrent use.
 type Chains struct {
 	contents map[string]*chain
+	// listed holds at least the suspected and quarantined content.
+	listed map[string]bool
 	// crashed holds the recent crashes of all contents by process.
 	crashed map[Process]Crash
 	// version changes with every change of the suspected or quarantined content.
@@ -92,7 +94,9 @@
 }
 
 // NewChains returns an instance without crashes.
-func NewChains() *Chains { return &Chains{contents: map[string]*chain{}, crashed: map[Process]Crash{}} }
+func NewChains() *Chains {
+	return &Chains{contents: map[string]*chain{}, listed: map[string]bool{}, crashed: map[Process]Crash{}}
+}
 
 // Record adds a crash and returns the content that is quarantined because of it.
 func (c *Chains) Record(now time.Duration, crash Crash) []Conviction {
@@ -134,9 +138,15 @@
 
 // countChange increases the version if the verdict on content is no longer the one before.
 func (c *Chains) countChange(now time.Duration, fingerprint string, before Verdict) {
-	if after, _ := c.Check(now, fingerprint); after != before {
+	after, _ := c.Check(now, fingerprint)
+	if after != before {
 		c.version++
 	}
+	if after == VerdictRun {
+		delete(c.listed, fingerprint)
+	} else {
+		c.listed[fingerprint] = true
+	}
 }
 
 func (c *chain) add(crash Crash) {
@@ -246,6 +256,7 @@
 	if until > now && s.quarantinedUntil == 0 {
 		s.quarantinedUntil, s.expiresAt = until, until+WatchTTL
 		c.nextExpiry = min(c.nextExpiry, until)
+		c.listed[q.Fingerprint] = true
 		c.version++
 	}
 }
@@ -268,7 +279,7 @@
 // Suspected returns the suspected content, sorted.
 func (c *Chains) Suspected(now time.Duration) []string {
 	var out []string
-	for f := range c.contents {
+	for f := range c.listed {
 		if v, _ := c.Check(now, f); v == VerdictIsolate {
 			out = append(out, f)
 		}
@@ -280,7 +291,7 @@
 // Quarantined returns the quarantined content, sorted.
 func (c *Chains) Quarantined(now time.Duration) []Quarantine {
 	var out []Quarantine
-	for f := range c.contents {
+	for f := range c.listed {
 		if v, left := c.Check(now, f); v == VerdictRefuse {
 			out = append(out, Quarantine{Fingerprint: f, RemainingMs: left.Milliseconds()})
 		}
@@ -326,6 +337,7 @@
 	for f, s := range c.contents {
 		if now >= s.expiresAt {
 			delete(c.contents, f)
+			delete(c.listed, f)
 			c.version++
 			continue
 		}
@@ -352,4 +364,5 @@
 		}
 	}
 	delete(c.contents, first)
+	delete(c.listed, first)
 }
