--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -148,7 +148,7 @@
 	return struct{}{}, n.ReportRuns(r)
 }
 
-func (c controlAPI) leaving(_ context.Context, processes []owner.Process) (struct{}, error) {
+func (c controlAPI) leaving(_ context.Context, processes []poison.Process) (struct{}, error) {
 	n, err := c.replicaNode()
 	if err != nil {
 		return struct{}{}, err
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -217,9 +217,9 @@
 // reportLeaving returns a function that tells the leader which upstreams leave.
 func reportLeaving(l *peer.LeaderClient) func(ctx context.Context, upstreams []model.Upstream) error {
 	return func(ctx context.Context, upstreams []model.Upstream) error {
-		var processes []owner.Process
+		var processes []poison.Process
 		for _, u := range upstreams {
-			processes = append(processes, owner.Process{Name: u.Name, Incarnation: u.Incarnation})
+			processes = append(processes, poison.Process{Name: u.Name, Incarnation: u.Incarnation})
 		}
 		return reportToLeader(ctx, l, peer.PathLeaving, processes)
 	}
--- a/internal/gate/crash.go
+++ b/internal/gate/crash.go
@@ -74,8 +74,10 @@
 	reason          string
 }
 
-func (r run) process() poison.Process {
-	return poison.Process{Name: r.upstream.Name, Incarnation: r.upstream.Incarnation}
+func (r run) process() poison.Process { return processOf(r.upstream) }
+
+func processOf(u model.Upstream) poison.Process {
+	return poison.Process{Name: u.Name, Incarnation: u.Incarnation}
 }
 
 // NewCrashGuard returns a guard that knows of no crashes. Reports are sent by Run.
@@ -186,7 +188,7 @@
 	liveness := g.cfg.Probe(context.Background(), u.Address)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	p := poison.Process{Name: u.Name, Incarnation: u.Incarnation}
+	p := processOf(u)
 	for _, r := range g.probing[p] {
 		g.cfg.Log.Warn("connection broke during a request", slog.String("request", r.requestID), slog.Any("content", r.contents),
 			slog.String("upstream", u.Name), slog.Uint64("incarnation", u.Incarnation), slog.String("address", u.Address),
--- a/internal/gate/notice.go
+++ b/internal/gate/notice.go
@@ -41,10 +41,6 @@
 	return &notices{leavingSince: map[poison.Process]leaver{}, pausedUntil: map[poison.Process]time.Duration{}}
 }
 
-func processOf(u model.Upstream) poison.Process {
-	return poison.Process{Name: u.Name, Incarnation: u.Incarnation}
-}
-
 // record applies the notice of an answer. It returns true if the upstream says for the first time that it leaves.
 func (n *notices) record(now time.Duration, u model.Upstream, notice pipe.Notice) bool {
 	if notice == (pipe.Notice{}) {
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -7,6 +7,7 @@
 
 	"baobabreach/internal/model"
 	"baobabreach/internal/owner"
+	"baobabreach/internal/poison"
 	"baobabreach/internal/raft"
 	"baobabreach/internal/route"
 	"baobabreach/internal/state"
@@ -127,7 +128,7 @@
 }
 
 // RecordLeaving records on the leader that upstreams say in their answers that they leave.
-func (n *Node) RecordLeaving(processes []owner.Process) error {
+func (n *Node) RecordLeaving(processes []poison.Process) error {
 	n.plannerMu.Lock()
 	defer n.plannerMu.Unlock()
 	if err := n.requireLeader(); err != nil {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -11,6 +11,7 @@
 
 	"baobabreach/internal/limit"
 	"baobabreach/internal/model"
+	"baobabreach/internal/poison"
 	"baobabreach/internal/route"
 	"baobabreach/internal/state"
 	"baobabreach/pkg/proto"
@@ -269,15 +270,9 @@
 	return !ok || u.LeavingSince > 0
 }
 
-// Process identifies a process of an upstream.
-type Process struct {
-	Name        string `json:"name"`
-	Incarnation uint64 `json:"incarnation"`
-}
-
 // RecordLeaving handles the notice of an entry host that an upstream says in its answers that it leaves. The upstream may
 // still report that it is ready. It keeps its grant until its ranges have been moved, like one that drains.
-func (p *Planner) RecordLeaving(s *model.State, process Process) {
+func (p *Planner) RecordLeaving(s *model.State, process poison.Process) {
 	p.observe(s)
 	if rec := p.upstreams[process.Name]; rec != nil && rec.info.Incarnation == process.Incarnation {
 		rec.draining = true
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -67,10 +67,7 @@
 		if err == nil && answered == 0 {
 			violations = append(violations, "no request was answered")
 		}
-		if err != nil || len(violations) > 0 {
-			t.Errorf("seed %d: %v\nviolations:\n%s\nevents:\n%s\nlogs in %s", seed, err, strings.Join(violations, "\n"),
-				strings.Join(run.Events, "\n"), keepLogs(t, cfg.Dir))
-		}
+		checkRun(t, run, violations, err, cfg.Dir)
 	}
 }
 
@@ -85,9 +82,7 @@
 	if err == nil && answered == 0 {
 		violations = append(violations, "no request was answered")
 	}
-	if err != nil || len(violations) > 0 {
-		t.Errorf("%v\nviolations:\n%s\nlogs in %s", err, strings.Join(violations, "\n"), keepLogs(t, cfg.Dir))
-	}
+	checkRun(t, run, violations, err, cfg.Dir)
 }
 
 // Guards against requests that are cut off where planned work overlaps: stops of several hosts, hangups, changes of the
@@ -102,10 +97,7 @@
 		run, violations, err := soak.RunOverlappingWork(cfg, first+i)
 		answered, failed := run.Counts()
 		t.Logf("seed %d: %d answered, %d failed", first+i, answered, failed)
-		if err != nil || len(violations) > 0 {
-			t.Errorf("seed %d: %v\nviolations:\n%s\nevents:\n%s\nlogs in %s", first+i, err, strings.Join(violations, "\n"),
-				strings.Join(run.Events, "\n"), keepLogs(t, cfg.Dir))
-		}
+		checkRun(t, run, violations, err, cfg.Dir)
 	}
 }
 
@@ -158,10 +150,7 @@
 			if n := len(run.Events); n > 0 {
 				t.Log(run.Events[n-1])
 			}
-			if err != nil || len(violations) > 0 {
-				t.Errorf("%v\nviolations:\n%s\nevents:\n%s\nlogs in %s", err, strings.Join(violations, "\n"),
-					strings.Join(run.Events, "\n"), keepLogs(t, cfg.Dir))
-			}
+			checkRun(t, run, violations, err, cfg.Dir)
 		})
 	}
 }
@@ -201,10 +190,7 @@
 			r, violations, err := run(cfg, disturb)
 			answered, failed := r.Counts()
 			t.Logf("%d answered, %d failed", answered, failed)
-			if err != nil || len(violations) > 0 {
-				t.Errorf("%v\n%d violations:\n%s\nevents:\n%s\nlogs in %s", err, len(violations),
-					strings.Join(violations[:min(10, len(violations))], "\n"), strings.Join(r.Events, "\n"), keepLogs(t, cfg.Dir))
-			}
+			checkRun(t, r, violations, err, cfg.Dir)
 		})
 	}
 }
@@ -222,14 +208,25 @@
 			if n := len(run.Events); n > 0 {
 				t.Log(run.Events[n-1])
 			}
-			if err != nil || len(violations) > 0 {
-				t.Errorf("%v\nviolations:\n%s\nevents:\n%s\nlogs in %s", err, strings.Join(violations, "\n"),
-					strings.Join(run.Events, "\n"), keepLogs(t, cfg.Dir))
-			}
+			checkRun(t, run, violations, err, cfg.Dir)
 		})
 	}
 }
 
+// maxPrintedViolations limits the violations that a failed run prints; all of them are in the count.
+const maxPrintedViolations = 20
+
+// checkRun fails the test if the run could not be completed or violated a guarantee, and keeps its logs.
+func checkRun(t *testing.T, r *soak.Run, violations []string, err error, dir string) {
+	t.Helper()
+	if err == nil && len(violations) == 0 {
+		return
+	}
+	t.Errorf("%v\n%d violations:\n%s\nevents:\n%s\nlogs in %s", err, len(violations),
+		strings.Join(violations[:min(maxPrintedViolations, len(violations))], "\n"), strings.Join(r.Events, "\n"),
+		keepLogs(t, dir))
+}
+
 // keepLogs copies the logs of a failed run to a directory that is not removed after the test.
 func keepLogs(t *testing.T, dir string) string {
 	t.Helper()
