--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -104,6 +104,7 @@
 // Guards against a request that crashes every upstream that runs it and is sent to one upstream after the other: the report
 // of the incident named BUDGET.
 func TestCrashingRequestIsStopped(t *testing.T) {
+	t.Parallel()
 	daemonPath := buildDaemon(t)
 	for i, crash := range []soak.CrashConfig{
 		{Name: "idempotent", Method: http.MethodGet, Service: "orders", Duration: 12 * time.Second},
@@ -178,6 +179,7 @@
 	run func(cfg soak.Config, disturb func(r *soak.Run) error) (*soak.Run, []string, error),
 ) {
 	t.Helper()
+	t.Parallel()
 	daemonPath := buildDaemon(t)
 	octet := firstOctet
 	for name, disturb := range disturbances {
@@ -197,12 +199,13 @@
 
 // Guards against a harmless request that is refused because its upstreams ended while it was in flight on all hosts.
 func TestHarmlessRequestIsServedAfterCrashes(t *testing.T) {
+	t.Parallel()
 	daemonPath := buildDaemon(t)
 	for i, method := range []string{http.MethodGet, http.MethodPost} {
 		t.Run(method, func(t *testing.T) {
 			t.Parallel()
 			cfg := soak.Config{
-				DaemonPath: daemonPath, Dir: t.TempDir(), LoopbackOctet: 2 + 2*((os.Getpid()+50+i)%120), EntryHosts: 4,
+				DaemonPath: daemonPath, Dir: t.TempDir(), LoopbackOctet: 2 + 2*((os.Getpid()+55+i)%120), EntryHosts: 4,
 			}
 			run, violations, err := soak.RunHarmlessRequest(cfg, method)
 			if n := len(run.Events); n > 0 {
