Grant no permit for quarantined content

A host that did not have the new list yet could ask for a permit and crash a third upstream with content that the leader had quarantined (own interface).

--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -273,3 +273,19 @@
 	tracker.Report(0, r)
 	is.Equal(len(tracker.List(0).Quarantined), 1)
 }
+
+// Guards against a third crash by content that the leader has quarantined, at a host that does not have the new list yet and
+// asks for a permit.
+func TestQuarantinedContentGetsNoPermit(t *testing.T) {
+	is := is.New(t)
+	tracker := poison.NewTracker(poison.FirstVersion(1))
+	for i := range 2 {
+		p := poison.Process{Name: fmt.Sprint("u", i), Incarnation: 1}
+		is.True(tracker.Permit(time.Second, p.Name, "f", "h1"))
+		tracker.Report(time.Second, poison.Report{Process: p, Fingerprints: []string{"f"}, Holder: "h1"})
+		tracker.Release(p.Name, "h1")
+	}
+	is.Equal(len(tracker.List(time.Second).Quarantined), 1)
+	is.True(!tracker.Permit(time.Second, "u3", "f", "h2"))
+	is.True(tracker.Permit(time.Second, "u3", "other", "h2"))
+}
--- a/internal/poison/suspects.go
+++ b/internal/poison/suspects.go
@@ -167,8 +167,12 @@
 	}
 }
 
-// Permit grants the exclusive permit of an upstream for watched content. It returns false if another holder has it.
+// Permit grants the exclusive permit of an upstream for watched content. It returns false if another holder has it, or if
+// the content is quarantined, which the host may not know yet.
 func (t *Tracker) Permit(now time.Duration, upstream, fingerprint, holder string) bool {
+	if s := t.suspects[fingerprint]; s != nil && s.quarantined {
+		return false
+	}
 	p, ok := t.permits[upstream]
 	if ok && now < p.expiresAt && p.holder != holder {
 		return false
