Decide in one place whether an upstream accepts requests

Cause: the rule of leaves and pauses stood in notices.accepting and again in notices.accepts, each notice kept an upstream that nothing read, and the check whether fingerprints are needed was written twice in the crash guard. Change: notices.wait and CrashGuard.idle serve both places; the unused field is gone.

--- a/internal/gate/crash.go
+++ b/internal/gate/crash.go
@@ -119,13 +119,17 @@
 	}
 }
 
+// idle reports whether no content is known, so that fingerprints need not be computed.
+func (g *CrashGuard) idle() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.monitor.Idle()
+}
+
 // check returns the verdict on the content of a request and, if it is quarantined, the time left. It computes the
 // fingerprints only if any content is known.
 func (g *CrashGuard) check(contents func() []string) (poison.Verdict, time.Duration) {
-	g.mu.Lock()
-	idle := g.monitor.Idle()
-	g.mu.Unlock()
-	if idle {
+	if g.idle() {
 		return poison.VerdictRun, 0
 	}
 	fingerprints := contents()
@@ -140,10 +144,7 @@
 
 // recordSurvival records that an upstream ran content without ending.
 func (g *CrashGuard) recordSurvival(contents func() []string) {
-	g.mu.Lock()
-	idle := g.monitor.Idle()
-	g.mu.Unlock()
-	if idle {
+	if g.idle() {
 		return
 	}
 	fingerprints := contents()
--- a/internal/gate/notice.go
+++ b/internal/gate/notice.go
@@ -25,20 +25,14 @@
 // use.
 type notices struct {
 	mu sync.Mutex
-	// leavingSince holds the first answer of each process that said that it leaves.
-	leavingSince map[poison.Process]leaver
+	// leavingSince is the time of the first answer of each process that said that it leaves.
+	leavingSince map[poison.Process]time.Duration
 	// pausedUntil is the end of the time for which a process wants no requests.
 	pausedUntil map[poison.Process]time.Duration
 }
 
-// leaver is an upstream that said that it leaves.
-type leaver struct {
-	upstream model.Upstream
-	since    time.Duration
-}
-
 func newNotices() *notices {
-	return &notices{leavingSince: map[poison.Process]leaver{}, pausedUntil: map[poison.Process]time.Duration{}}
+	return &notices{leavingSince: map[poison.Process]time.Duration{}, pausedUntil: map[poison.Process]time.Duration{}}
 }
 
 // record applies the notice of an answer. It returns true if the upstream says for the first time that it leaves.
@@ -55,7 +49,7 @@
 	if _, known := n.leavingSince[p]; known || !notice.Leaving {
 		return false
 	}
-	n.leavingSince[p] = leaver{upstream: u, since: now}
+	n.leavingSince[p] = now
 	return true
 }
 
@@ -70,8 +64,8 @@
 func (n *notices) mayRouteTo(now time.Duration, u model.Upstream, grace time.Duration) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	l, ok := n.leavingSince[processOf(u)]
-	return !ok || now < l.since+grace
+	since, leaving := n.leavingSince[processOf(u)]
+	return !leaving || now < since+grace
 }
 
 // accepting returns the upstreams that neither leave nor want a pause. If there is none, it returns the time after which
@@ -85,15 +79,11 @@
 	retryAfter := time.Duration(0)
 	out := make([]model.Upstream, 0, len(upstreams))
 	for _, u := range upstreams {
-		p := processOf(u)
-		left := n.pausedUntil[p] - now
-		if _, leaving := n.leavingSince[p]; leaving {
-			left = leavingRetryAfter
-		}
-		if left <= 0 {
+		wait := n.wait(now, u)
+		if wait == 0 {
 			out = append(out, u)
-		} else if retryAfter == 0 || left < retryAfter {
-			retryAfter = left
+		} else if retryAfter == 0 || wait < retryAfter {
+			retryAfter = wait
 		}
 	}
 	return out, retryAfter
@@ -103,8 +93,17 @@
 func (n *notices) accepts(now time.Duration, u model.Upstream) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	_, leaving := n.leavingSince[processOf(u)]
-	return !leaving && now >= n.pausedUntil[processOf(u)]
+	return n.wait(now, u) == 0
+}
+
+// wait returns the time after which the upstream or its successor may accept requests, or 0 if it accepts them now. The
+// caller holds mu.
+func (n *notices) wait(now time.Duration, u model.Upstream) time.Duration {
+	p := processOf(u)
+	if _, leaving := n.leavingSince[p]; leaving {
+		return leavingRetryAfter
+	}
+	return max(0, n.pausedUntil[p]-now)
 }
 
 // sweep drops notices of processes that have been gone for noticeTTL, and returns the upstreams that leave although the
@@ -114,10 +113,10 @@
 	defer n.mu.Unlock()
 	maps.DeleteFunc(n.pausedUntil, func(_ poison.Process, until time.Duration) bool { return now >= until })
 	var unknown []model.Upstream
-	for p, l := range n.leavingSince {
+	for p, since := range n.leavingSince {
 		u, ok := t.Upstreams[p.Name]
 		switch {
-		case (!ok || u.Incarnation != p.Incarnation) && now > l.since+noticeTTL:
+		case (!ok || u.Incarnation != p.Incarnation) && now > since+noticeTTL:
 			delete(n.leavingSince, p)
 		case ok && u.Incarnation == p.Incarnation && u.LeavingSince == 0:
 			unknown = append(unknown, u)
