Give no key back because of a report that is older than its grant

Cause: the order of the reports of an upstream is known to one leader only, and the absence of a key from a report proves a hand-back only if the report was sent after the grant.

A leader now takes absence as proof only for epochs that it assigned itself or that a report to it has listed before. Other grants of an earlier leader are waited out, including this leader's renewals of them. The notice of a leave no longer ends a grant on the word of such a report.

The log of an assignment says by which report the range was given back.

--- a/internal/node/audit.go
+++ b/internal/node/audit.go
@@ -36,10 +36,23 @@
 		a := s.Ranges[i]
 		attrs = append(attrs, "range", a.ID, "first", a.First/model.OrderedSpan, "last", a.Last/model.OrderedSpan,
 			"epoch", a.Epoch, "from", a.Owner)
+		if sequence, ok := n.givenBackIn(a); ok {
+			attrs = append(attrs, "given_back_in", sequence)
+		}
 	}
 	n.cfg.Log.Info(string(d.Kind), attrs...)
 }
 
+// givenBackIn returns the sequence number of the announcement by which the range was given back, or false.
+func (n *Node) givenBackIn(a model.Assignment) (uint64, bool) {
+	n.plannerMu.Lock()
+	defer n.plannerMu.Unlock()
+	if n.planner == nil {
+		return 0, false
+	}
+	return n.planner.GivenBackIn(a)
+}
+
 func decisionFor(c state.Command, s *model.State) (audit.Decision, bool) {
 	switch {
 	case c.Assign != nil:
--- a/internal/owner/moves.go
+++ b/internal/owner/moves.go
@@ -241,8 +241,7 @@
 		if rec == nil {
 			return false
 		}
-		ended := now >= rec.grantedUntil && !a.Home
-		if !rec.released[a.Fence()] && !ended && p.safeguards.waitGrant {
+		if p.mayHold(now, rec, a) && p.safeguards.waitGrant {
 			return false
 		}
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -86,14 +86,19 @@
 	// removing is true once the removal was proposed. The removal may commit at any later time, so no grant is given.
 	removing bool
 	inFlight int
-	// released holds the fences that the upstream gave back and whose ranges are still releasing.
-	released map[proto.Fence]bool
-	// sequence is the sequence number of the last accepted announcement.
+	// released holds the fences that the upstream gave back and whose ranges are still releasing, with the sequence number
+	// of the announcement that shows it.
+	released map[proto.Fence]uint64
+	// inherited holds what is known about the grants of an earlier leader to this upstream, by epoch.
+	inherited map[uint64]inheritedGrant
+	// sequence is the sequence number of the last accepted announcement. Announcements to an earlier leader may have had
+	// higher ones.
 	sequence uint64
 	// gone is true for an upstream that left without draining. Its grant is not renewed.
 	gone bool
-	// holdsRows is true if the last announcement listed rows or did not carry a list.
-	holdsRows bool
+	// listsRows is true if the last announcement carried a list of rows, and holdsRows if it carried none or a list that is
+	// not empty.
+	listsRows, holdsRows bool
 	// responseDeadline is the latest time for the response to the last announcement. It is in the past once the response
 	// was given.
 	responseDeadline time.Duration
@@ -105,6 +110,10 @@
 	successor *model.Upstream
 }
 
+func newUpstreamRecord(info model.Upstream) *upstreamRecord {
+	return &upstreamRecord{info: info, released: map[proto.Fence]uint64{}, inherited: map[uint64]inheritedGrant{}}
+}
+
 // matches reports whether the record describes the registered process.
 func (r *upstreamRecord) matches(u model.Upstream) bool {
 	return u.Incarnation == r.info.Incarnation && u.Address == r.info.Address
@@ -133,6 +142,8 @@
 	hosts      map[string]*entryHost
 	// predecessorExpiry is the time by which every grant and lease of an earlier leader has expired.
 	predecessorExpiry time.Duration
+	// firstEpoch is the epoch of the first range that this leader assigns. Lower ones were granted by earlier leaders.
+	firstEpoch uint64
 	// discoveryEnd is the time by which every upstream that the earlier leader knew has announced itself or is gone.
 	discoveryEnd time.Duration
 	history      *History
@@ -263,7 +274,7 @@
 	}
 	p.ended.add(rec.info)
 	rec.draining, rec.gone = true, true
-	if rec.announced && !rec.holdsRows && len(rec.rows) == 0 {
+	if rec.announced && !rec.holdsRows && len(rec.rows) == 0 && !p.mayHoldInherited(now, s, rec) {
 		rec.grantedUntil = min(rec.grantedUntil, now)
 	}
 	u, ok := s.Upstreams[name]
@@ -303,26 +314,13 @@
 	rec.draining = rec.draining || an.Draining || an.Gone
 	rec.inFlight = an.InFlight
 	for _, f := range an.Released {
-		rec.released[f] = true
+		rec.released[f] = an.Sequence
 	}
-	rec.holdsRows = an.Rows == nil || len(*an.Rows) > 0
+	rec.listsRows = an.Rows != nil
+	rec.holdsRows = !rec.listsRows || len(*an.Rows) > 0
 	p.handovers.add(rec.info.Service, an.Handovers)
-	if an.Rows != nil {
-		p.recordReleased(s, rec, *an.Rows)
-	}
-}
-
-// recordReleased records the ranges that the upstream no longer holds. The upstream sends an announcement only after
-// it received the answer to the previous one or gave up on it, so no earlier grant is still in flight.
-func (p *Planner) recordReleased(s *model.State, rec *upstreamRecord, rows []proto.Row) {
-	for _, i := range p.index.ownedBy(s, rec.info.Name) {
-		a := &s.Ranges[i]
-		if a.Phase != model.PhaseReleasing || a.Incarnation != rec.info.Incarnation {
-			continue
-		}
-		if !slices.ContainsFunc(rows, func(r proto.Row) bool { return r.Overlaps(a.First, a.Last) }) {
-			rec.released[a.Fence()] = true
-		}
+	if rec.listsRows {
+		p.recordReleased(s, rec, an)
 	}
 }
 
@@ -331,7 +329,7 @@
 func (p *Planner) recordFor(now time.Duration, s *model.State, info model.Upstream) (*upstreamRecord, *proto.Error) {
 	rec := p.upstreams[info.Name]
 	if rec == nil {
-		rec = &upstreamRecord{info: info, released: map[proto.Fence]bool{}}
+		rec = newUpstreamRecord(info)
 		p.upstreams[info.Name] = rec
 		return rec, nil
 	}
@@ -356,7 +354,7 @@
 		return nil, proto.NotRun(proto.CodeNameInUse, http.StatusConflict,
 			"upstream %s is in use by incarnation %d at %s", info.Name, rec.info.Incarnation, rec.info.Address)
 	}
-	rec = &upstreamRecord{info: info, released: map[proto.Fence]bool{}}
+	rec = newUpstreamRecord(info)
 	p.upstreams[info.Name] = rec
 	return rec, nil
 }
@@ -389,6 +387,7 @@
 		}
 		if a.Phase == model.PhaseHeld {
 			p.addRange(&g, a, an)
+			p.recordRenewal(now, rec, a)
 			continue
 		}
 		g.NextMs = movingAnnounceInterval.Milliseconds()
@@ -483,11 +482,15 @@
 	if s.Version <= p.seenVersion && p.seenVersion > 0 {
 		return
 	}
+	if p.seenVersion == 0 {
+		p.firstEpoch = s.NextEpoch
+	}
 	p.seenVersion = s.Version
 	p.history.Observe(s)
 	for name, u := range s.Upstreams {
 		if p.upstreams[name] == nil {
-			p.upstreams[name] = &upstreamRecord{info: u, grantedUntil: p.predecessorExpiry, released: map[proto.Fence]bool{}}
+			p.upstreams[name] = newUpstreamRecord(u)
+			p.upstreams[name].grantedUntil = p.predecessorExpiry
 		}
 	}
 }
@@ -507,7 +510,7 @@
 	}
 	maps.DeleteFunc(p.nextOwner, func(id uint64, _ string) bool { return !existing[id] })
 	for _, rec := range p.upstreams {
-		maps.DeleteFunc(rec.released, func(f proto.Fence, _ bool) bool { return !releasing[f] })
+		maps.DeleteFunc(rec.released, func(f proto.Fence, _ uint64) bool { return !releasing[f] })
 	}
 }
 
@@ -523,9 +526,8 @@
 		}
 		switch {
 		case rec.successor != nil:
-			p.upstreams[name] = &upstreamRecord{
-				info: *rec.successor, released: map[proto.Fence]bool{}, grantedUntil: now + p.safeguards.margin(p.cfg.GrantTTL),
-			}
+			p.upstreams[name] = newUpstreamRecord(*rec.successor)
+			p.upstreams[name].grantedUntil = now + p.safeguards.margin(p.cfg.GrantTTL)
 			cs = append(cs, state.Command{Register: rec.successor})
 		case now >= rec.grantedUntil || rec.removing || rec.replaced:
 			delete(p.upstreams, name)
--- a/internal/owner/rows_test.go
+++ b/internal/owner/rows_test.go
@@ -147,6 +147,13 @@
 	}
 }
 
+// deliver delivers announcements that nobody waits for any more.
+func (f *rowsFleet) deliver(late []proto.Announcement) {
+	for _, a := range late {
+		_, _ = f.planner.Announce(f.now, f.machine.Model(), a)
+	}
+}
+
 // checkExclusive fails the test if two upstreams hold the same position.
 func (f *rowsFleet) checkExclusive(hs []*rowsUpstream) {
 	f.t.Helper()
@@ -268,7 +275,7 @@
 }
 
 // Guards against a second holder under crashes, restarts at the same address or under the same name, drains,
-// departures, lost answers and leader changes in any order.
+// departures, lost answers, late announcements and leader changes in any order.
 func TestRowsNeverHaveTwoHolders(t *testing.T) {
 	for seed := range uint64(150) {
 		r := rand.New(rand.NewPCG(seed, 7))
@@ -277,13 +284,14 @@
 		for i := range 4 {
 			hs = append(hs, newRowsUpstream(fmt.Sprintf("u%d", i), i))
 		}
+		var delayed []proto.Announcement
 		for step := range 40 {
 			f.run(time.Duration(r.IntN(1200))*time.Millisecond, hs...)
 			live := slices.DeleteFunc(slices.Clone(hs), func(h *rowsUpstream) bool { return h.dead })
 			if len(live) == 0 {
 				break
 			}
-			h, kind := live[r.IntN(len(live))], r.IntN(9)
+			h, kind := live[r.IntN(len(live))], r.IntN(11)
 			f.steps = append(f.steps, fmt.Sprintf("%v %d %s/%d", f.now, kind, h.name, h.incarnation))
 			switch kind {
 			case 0:
@@ -311,6 +319,11 @@
 			case 8:
 				// The upstream sends no announcement for longer than the TTL of its grant.
 				h.nextAnnounce = f.now + 6*time.Second
+			case 9:
+				delayed = append(delayed, h.announcement(f.now))
+			case 10:
+				f.deliver(delayed)
+				delayed = nil
 			}
 		}
 	}
