Record upstreams that have left in the replicated state

Cause: which processes had left or been replaced was kept in the memory of one leader. The state now records the last 4,096 of them, with the removal of an upstream that leaves and by a command for those that were not registered; a leave is acknowledged once the state shows it. Late announcements of such processes are refused and logged; a repeated notice that they leave is acknowledged.

TestLateAnnouncementGivesNothingBack lets its upstream leave by its answers instead of DELETE, since the late announcement is now refused after a DELETE; what it checks is the same.

--- a/internal/daemon/registry.go
+++ b/internal/daemon/registry.go
@@ -144,6 +144,10 @@
 	}
 	changed := n.Changed()
 	g, err := n.Announce(received, a)
+	if e := (*proto.Error)(nil); errors.As(err, &e) && e.Code == proto.CodeSuperseded {
+		r.log.Info("announcement refused", "upstream", a.Name, "incarnation", a.Incarnation, "sequence", a.Sequence,
+			"draining", a.Draining, "reason", e.Message)
+	}
 	for err == nil {
 		remaining := r.responseDelay(a, g) - (r.clock() - received)
 		if remaining <= 0 {
--- a/internal/node/audit.go
+++ b/internal/node/audit.go
@@ -75,6 +75,11 @@
 			Kind: audit.KindLeave, Service: s.Upstreams[c.Leave.Name].Service, Upstream: c.Leave.Name,
 			Reason: "the upstream announced that it leaves",
 		}, true
+	case c.End != nil:
+		return audit.Decision{
+			Kind: audit.KindLeave, Service: s.Upstreams[c.End.Name].Service, Upstream: c.End.Name,
+			Reason: "the upstream left, or another one started at its address; its late announcements are refused",
+		}, true
 	case c.Register != nil:
 		return audit.Decision{
 			Kind: audit.KindRegister, Service: c.Register.Service, Upstream: c.Register.Name, Reason: "the upstream announced itself",
--- a/internal/owner/announce.go
+++ b/internal/owner/announce.go
@@ -1,44 +1,49 @@
 package owner
 
 import (
+	"maps"
 	"net/http"
 	"slices"
 	"time"
 
 	"baobabreach/internal/model"
+	"baobabreach/internal/state"
 	"baobabreach/pkg/proto"
 )
 
-// maxEndedUpstreams limits how many ended upstreams are remembered, so that a late announcement does not revive one.
-const maxEndedUpstreams = 4096
+// endedUpstreams maps the name of an upstream that left or was replaced to its highest ended incarnation, until the state
+// records it.
+type endedUpstreams map[string]uint64
 
-// endedUpstreams remembers upstream processes that have ended. Processes of one name are ordered by incarnation.
-type endedUpstreams struct {
-	// incarnations maps the name of an upstream that left or was replaced to its highest ended incarnation. order
-	// holds the names from the oldest entry to the newest.
-	incarnations map[string]uint64
-	order        []string
-}
+func (e endedUpstreams) add(u model.Upstream) { e[u.Name] = max(e[u.Name], u.Incarnation) }
 
-func newEndedUpstreams() endedUpstreams { return endedUpstreams{incarnations: map[string]uint64{}} }
+// hasEnded reports whether a process is known to have ended.
+func (p *Planner) hasEnded(s *model.State, u model.Upstream) bool {
+	last, ok := p.ended[u.Name]
+	return (ok && u.Incarnation <= last) || s.HasEnded(u.Name, u.Incarnation)
+}
 
-func (e *endedUpstreams) add(u model.Upstream) {
-	if _, ok := e.incarnations[u.Name]; !ok {
-		e.order = append(e.order, u.Name)
-	}
-	e.incarnations[u.Name] = max(e.incarnations[u.Name], u.Incarnation)
-	if len(e.order) > maxEndedUpstreams {
-		delete(e.incarnations, e.order[0])
-		e.order = e.order[1:]
+// answerEnded answers an announcement of a process that is known to have ended. Only the notice that it leaves is
+// acknowledged.
+func (p *Planner) answerEnded(an proto.Announcement) (proto.Grant, *proto.Error) {
+	if an.Draining || an.Gone {
+		g := p.emptyGrant()
+		g.Drained, g.Leaving = true, true
+		return g, nil
 	}
+	return proto.Grant{}, proto.NotRun(proto.CodeSuperseded, http.StatusConflict,
+		"upstream %s of incarnation %d has left or was replaced", an.Name, an.Incarnation)
 }
 
-// checkNotEnded refuses the announcement of a process that is known to have ended.
-func (e *endedUpstreams) checkNotEnded(u model.Upstream) *proto.Error {
-	if last, ok := e.incarnations[u.Name]; ok && u.Incarnation <= last {
-		return proto.NotRun(proto.CodeSuperseded, http.StatusConflict, "upstream %s of incarnation %d has ended", u.Name, last)
+// recordEnds returns the commands that record in the state which upstreams have ended. The next leader knows nothing else of
+// an upstream that was not registered.
+func (p *Planner) recordEnds(s *model.State) []state.Command {
+	maps.DeleteFunc(p.ended, s.HasEnded)
+	var cs []state.Command
+	for _, name := range sortedKeys(p.ended) {
+		cs = append(cs, state.Command{End: &state.End{Name: name, Incarnation: p.ended[name]}})
 	}
-	return nil
+	return cs
 }
 
 // endEarlierProcesses marks the processes that info proves to have ended: earlier incarnations of its name and
--- a/internal/owner/late_test.go
+++ b/internal/owner/late_test.go
@@ -1,10 +1,13 @@
 package owner_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"baobabreach/internal/model"
 	"baobabreach/internal/poison"
+	"baobabreach/pkg/proto"
 
 	"github.com/matryer/is"
 )
@@ -19,7 +22,7 @@
 	late := c.announcement(f.now)
 	f.run(4*time.Second, a, b, c)
 	is.True(f.ownedCount(c) > 0)
-	f.planner.MarkLeaving(f.now, f.machine.Model(), "c")
+	f.planner.RecordLeaving(f.machine.Model(), poison.Process{Name: "c", Incarnation: c.incarnation})
 	f.tick()
 	c.nextAnnounce = f.now + time.Hour
 
@@ -72,3 +75,90 @@
 	f.run(6*time.Second, a, b)
 	is.Equal(f.ownedCount(a), 8)
 }
+
+// Guards against an upstream that left being registered again by the next leader, because an announcement from before it
+// left arrives late.
+func TestDepartedUpstreamStaysAwayAfterLeaderChange(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// age is how long the upstream announces itself before it leaves.
+		age time.Duration
+		// draining is true if it announces that it drains before it leaves.
+		draining bool
+	}{
+		{name: "with keys", age: 5 * time.Second},
+		{name: "with keys, after it drained", age: 5 * time.Second, draining: true},
+		{name: "before it was registered", age: time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newRowsFleet(t)
+			a, b := newRowsUpstream("a", 1), newRowsUpstream("b", 2)
+			f.run(5*time.Second, a)
+			late := b.announcement(f.now)
+			end := f.now + c.age
+			is.True(f.announce(b) == nil)
+			f.run(end-f.now, a, b)
+			if c.draining {
+				b.leaving = true
+				f.run(3*time.Second, a, b)
+			}
+			b.nextAnnounce = f.now + time.Hour
+			for !f.planner.MarkLeaving(f.now, f.machine.Model(), "b") {
+				f.tick()
+			}
+			// The notice is acknowledged only once the state shows it.
+			is.True(f.machine.Model().HasEnded("b", b.incarnation) || f.machine.Model().Upstreams["b"].LeavingSince > 0)
+			f.elect()
+			f.run(rowsTTL*2, a, b)
+			_, err := f.planner.Announce(f.now, f.machine.Model(), late)
+			is.True(err != nil)
+			is.Equal(err.Code, proto.CodeSuperseded)
+			f.run(time.Second, a, b)
+			_, registered := f.machine.Model().Upstreams["b"]
+			is.True(!registered)
+
+			b.leaving = true
+			again, err := f.planner.Announce(f.now, f.machine.Model(), b.announcement(f.now))
+			is.True(err == nil) // a notice that it leaves may be repeated
+			is.True(again.Leaving)
+			restarted := &rowsUpstream{name: "b", address: b.address, incarnation: b.incarnation + 50}
+			f.run(5*time.Second, a, restarted)
+			is.True(f.ownedCount(restarted) > 0)
+		})
+	}
+}
+
+// Guards against a process that another one replaced at its address being registered again by the next leader.
+func TestReplacedUpstreamStaysAwayAfterLeaderChange(t *testing.T) {
+	is := is.New(t)
+	f := newRowsFleet(t)
+	a, b := newRowsUpstream("a", 1), newRowsUpstream("b", 2)
+	late := b.announcement(f.now)
+	f.run(3*time.Second, a, b)
+	b.dead = true
+	successor := &rowsUpstream{name: "c", address: b.address, incarnation: b.incarnation + 50}
+	f.run(3*time.Second, a, successor)
+	successor.dead = true
+	f.run(2*rowsTTL, a)
+	f.elect()
+	f.run(time.Second, a)
+	_, err := f.planner.Announce(f.now, f.machine.Model(), late)
+	is.True(err != nil)
+	f.run(time.Second, a)
+	_, registered := f.machine.Model().Upstreams["b"]
+	is.True(!registered)
+}
+
+// Guards against the record of ended upstreams growing without limit, and against replicas that drop different ones.
+func TestRecordOfEndedUpstreamsIsBounded(t *testing.T) {
+	is := is.New(t)
+	s := model.NewState()
+	for i := range uint64(5000) {
+		s = s.WithEnded(fmt.Sprintf("u%d", i), 1, i+1)
+	}
+	is.Equal(len(s.Ended), 4096)
+	is.True(s.HasEnded("u4999", 1))
+	is.True(s.HasEnded("u904", 1))
+	is.True(!s.HasEnded("u903", 1))
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -178,7 +178,7 @@
 	p := &Planner{
 		cfg: cfg, safeguards: guards, upstreams: map[string]*upstreamRecord{}, hosts: map[string]*entryHost{},
 		loads: newLoadTracker(), limits: limit.NewAllocator(now + guards.margin(max(cfg.GrantTTL, cfg.LeaseTTL))),
-		ended: newEndedUpstreams(), nextOwner: map[uint64]string{}, arrivals: map[string]timeSpan{}, history: cfg.History,
+		ended: endedUpstreams{}, nextOwner: map[uint64]string{}, arrivals: map[string]timeSpan{}, history: cfg.History,
 	}
 	if guards.waitPredecessor {
 		p.predecessorExpiry = now + guards.margin(max(cfg.GrantTTL, cfg.LeaseTTL))
@@ -198,8 +198,8 @@
 		Name: an.Name, Incarnation: an.Incarnation, Address: an.Address, DataCentre: an.DataCentre,
 		Service: an.Service, Slots: an.Slots, ChecksGrants: an.ChecksGrants,
 	}
-	if err := p.ended.checkNotEnded(info); err != nil {
-		return proto.Grant{}, err
+	if p.hasEnded(s, info) {
+		return p.answerEnded(an)
 	}
 	if p.isForeign(s, info) {
 		g := p.emptyGrant()
@@ -263,8 +263,8 @@
 	}
 }
 
-// MarkLeaving handles the notice of an upstream that is about to exit. It returns true once entry hosts no longer get a
-// table by which they would send requests to the upstream. What the upstream still holds stays its own until its
+// MarkLeaving handles the notice of an upstream that is about to exit. It returns true once the state shows that the
+// upstream leaves, so that neither entry hosts nor the next leader use it. What it still holds stays its own until its
 // grant expires.
 func (p *Planner) MarkLeaving(now time.Duration, s *model.State, name string) bool {
 	p.observe(s)
@@ -277,8 +277,10 @@
 	if rec.announced && !rec.holdsRows && len(rec.rows) == 0 && !p.mayHoldInherited(now, s, rec) {
 		rec.grantedUntil = min(rec.grantedUntil, now)
 	}
-	u, ok := s.Upstreams[name]
-	return !ok || u.LeavingSince > 0
+	if u, ok := s.Upstreams[name]; ok {
+		return u.LeavingSince > 0
+	}
+	return s.HasEnded(name, rec.info.Incarnation)
 }
 
 // RecordLeaving handles the notice of an entry host that an upstream says in its answers that it leaves. The upstream may
@@ -474,7 +476,7 @@
 	// first in the batch, so that a releasing range of a lost owner gets its new owner in the same commit.
 	membership := p.membershipChanges(now, s)
 	p.loads.refresh(now, p.hosts)
-	return append(p.planMoves(now, s), membership...)
+	return slices.Concat(p.planMoves(now, s), membership, p.recordEnds(s))
 }
 
 // observe records a new version of the state.
@@ -529,7 +531,7 @@
 			p.upstreams[name] = newUpstreamRecord(*rec.successor)
 			p.upstreams[name].grantedUntil = now + p.safeguards.margin(p.cfg.GrantTTL)
 			cs = append(cs, state.Command{Register: rec.successor})
-		case now >= rec.grantedUntil || rec.removing || rec.replaced:
+		case now >= rec.grantedUntil || rec.removing || rec.replaced || s.HasEnded(name, rec.info.Incarnation):
 			delete(p.upstreams, name)
 		case !rec.draining:
 			cs = append(cs, state.Command{Register: &rec.info})
--- a/internal/state/ranges.go
+++ b/internal/state/ranges.go
@@ -21,6 +21,12 @@
 	Incarnation uint64 `json:"incarnation"`
 }
 
+// End records that an upstream, and every earlier incarnation of its name, has ended or is about to.
+type End struct {
+	Name        string `json:"name"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
 // Assign makes an upstream the owner of a free or releasing range. It is rejected if the range no longer has Epoch.
 type Assign struct {
 	Range       uint64 `json:"range"`
@@ -112,7 +118,7 @@
 
 func (m *Machine) register(u model.Upstream) Result {
 	// The old incarnation must be removed first, which happens only after its grant has ended.
-	if _, ok := m.model.Upstreams[u.Name]; ok {
+	if _, ok := m.model.Upstreams[u.Name]; ok || m.model.HasEnded(u.Name, u.Incarnation) {
 		return Result{}
 	}
 	return m.setModel(m.model.WithUpstream(u))
@@ -128,7 +134,20 @@
 			return Result{}
 		}
 	}
-	return m.setModel(m.model.WithoutUpstream(c.Name, index))
+	s := m.model.WithoutUpstream(c.Name, index)
+	if u.LeavingSince > 0 {
+		s = s.WithEnded(u.Name, u.Incarnation, index)
+	}
+	return m.setModel(s)
+}
+
+func (m *Machine) end(index uint64, c End) Result {
+	s := m.model.WithEnded(c.Name, c.Incarnation, index)
+	if u, ok := s.Upstreams[c.Name]; ok && u.Incarnation <= c.Incarnation && u.LeavingSince == 0 {
+		u.LeavingSince = index
+		s = s.WithUpstream(u)
+	}
+	return m.setModel(s)
 }
 
 func (m *Machine) leave(index uint64, c Leave) Result {
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -22,6 +22,7 @@
 	Split        *Split          `json:"split,omitempty"`
 	Merge        *Merge          `json:"merge,omitempty"`
 	Leave        *Leave          `json:"leave,omitempty"`
+	End          *End            `json:"end,omitempty"`
 	Service      *model.Service  `json:"service,omitempty"`
 	Limit        *model.Limit    `json:"limit,omitempty"`
 	Claim        *Claim          `json:"claim,omitempty"`
@@ -155,7 +156,7 @@
 	case c.Outcome != nil:
 		r := m.claims.Record(c.Outcome.ID, c.Outcome.Holder, c.Outcome.Answer)
 		return Result{Applied: true, Claim: &r}
-	case c.Register != nil || c.Remove != nil || c.Leave != nil:
+	case c.Register != nil || c.Remove != nil || c.Leave != nil || c.End != nil:
 		return m.applyUpstream(index, c)
 	case c.Service != nil || c.Limit != nil || c.Items != nil || c.Quarantine != nil:
 		return m.applySettings(c)
@@ -179,6 +180,8 @@
 		return m.register(*c.Register)
 	case c.Remove != nil:
 		return m.remove(index, *c.Remove)
+	case c.End != nil:
+		return m.end(index, *c.End)
 	}
 	return m.leave(index, *c.Leave)
 }
