Pass on only requests that end before a stopping host does

In a planned stop, callers' requests whose bodies ended late in the grace period were sent to an upstream and cut off by the end of the host without an answer, among them orders, which may not be repeated (LOST; 4 of 4 of those that ended 4.4 to 5.2 s after SIGTERM).

Cause: once a connection had been accepted, nothing compared the time that the host had left with the deadline of a request.

Once the load balancer sends new connections to other hosts, a request is sent to an upstream only if its deadline lies before the end of the host. Others are refused at once as not run. That is checked after the body was read and right before each attempt, so also after a wait for a broker, an owner or a slot and after a refusal, and on both request paths, before an order is claimed.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"baobabreach/internal/audit"
 	"baobabreach/internal/clock"
 	"baobabreach/internal/config"
+	"baobabreach/internal/drain"
 	"baobabreach/internal/entry"
 	"baobabreach/internal/errs"
 	"baobabreach/internal/limit"
@@ -94,12 +95,16 @@
 		fx.Provide(
 			newLogger, newClock, newTokens, newClients, newLeaderClient, metric.New, route.NewView,
 			newLocalReplica, newRenewer, newSlots, limit.NewHostLimiter, retry.NewPolicy, newGuard, newEntry,
-			suspectsOfEntry, newShutdownState, newServers, newAuditRing,
+			suspectsOfEntry, newDrain, newServers, newAuditRing,
 		),
 		fx.Invoke(startListeners, startReplica, startRenewer, startSlots, startDrain),
 	)
 }
 
+func newDrain(cfg config.Config) *drain.Drain {
+	return drain.New(drain.Config{BalancerDelay: cfg.BalancerDelay, Timeout: cfg.StopTimeout})
+}
+
 // stopMargin is the time allowed for closing the listeners, beyond the configured delays.
 const stopMargin = 5 * time.Second
 
@@ -243,11 +248,12 @@
 
 func newEntry(
 	cfg config.Config, v *route.View, l *peer.LeaderClient, c clients, g *entry.Guard, m *metric.Registry,
-	ring *audit.Ring, now Clock, s *slots.Slots, lim *limit.HostLimiter, rp *retry.Policy, log *slog.Logger,
+	ring *audit.Ring, now Clock, s *slots.Slots, lim *limit.HostLimiter, rp *retry.Policy, d *drain.Drain,
+	log *slog.Logger,
 ) *entry.Server {
 	ec := entry.Config{
 		Host: cfg.Host, DataCentre: cfg.DataCentre, View: v, Clock: now, Guard: g, Client: c.upstream,
-		Metrics: m, Audit: ring,
+		Metrics: m, Audit: ring, Drain: d,
 		Log: logs.ForComponent(log, "entry"), MaxBodyBytes: cfg.MaxBodyBytes, MaxResponseBytes: cfg.MaxResponseBytes,
 		Propose: func(ctx context.Context, cmd state.Command) (state.Result, error) {
 			results, err := peer.CallLeaderWithRetry[[]state.Command, []state.Result](ctx, l, peer.PathPropose, claimAttemptTimeout,
--- a/internal/daemon/export_test.go
+++ b/internal/daemon/export_test.go
@@ -20,7 +20,7 @@
 // Routers returns the caller and operator routers of a daemon without a replica.
 func Routers(token string) (callers, operators http.Handler) {
 	p := listenerParams{
-		Config: config.Config{Host: "a1"}, Shutdown: newShutdownState(), Replica: newLocalReplica(), View: route.NewView(),
+		Config: config.Config{Host: "a1"}, Drain: newDrain(config.Config{}), Replica: newLocalReplica(), View: route.NewView(),
 		Tokens: tokens{operator: token}, Clients: newClients(config.Config{}, NetDial, metric.New()),
 		Leader: peer.NewLeaderClient(http.DefaultClient, "", []string{"127.0.0.1:1"}),
 	}
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -13,6 +13,7 @@
 
 	"baobabreach/internal/clock"
 	"baobabreach/internal/config"
+	"baobabreach/internal/drain"
 	"baobabreach/internal/errs"
 	"baobabreach/internal/gate"
 	"baobabreach/internal/limit"
@@ -134,7 +135,7 @@
 		fx.Provide(
 			newGatewayLogger, newClock, newTokens, newClients, newSeedLeaderClient, metric.New, newGatewayView, newLocalReplica,
 			newRenewer, limit.NewHostLimiter, newCrashGuard, suspectsOfGate, newAuditRing, newGate, newPipePool,
-			newReplicaDirectory, newRegistry, newBrokerSocket,
+			newReplicaDirectory, newRegistry, newBrokerSocket, newDrain,
 		),
 		// fx stops these in reverse order, so that the table is kept up to date until the last caller is served.
 		fx.Invoke(
@@ -192,12 +193,13 @@
 
 func newGate(
 	cfg config.Config, v *route.View, p *pipe.Pool, now Clock, adapter Adapter, m *metric.Registry, b *brokerSocket,
-	crashes *gate.CrashGuard, l *peer.LeaderClient, log *slog.Logger,
+	crashes *gate.CrashGuard, l *peer.LeaderClient, d *drain.Drain, log *slog.Logger,
 ) *gate.Gate {
 	g := cfg.Gateway
 	return gate.New(gate.Config{
 		Names: adapter.Names, View: v, Pool: p, Picker: gate.NewPicker(cfg.DataCentre, rand.IntN), Clock: now, Metrics: m,
 		Brokers: b.gateBrokers(), DataCentre: cfg.DataCentre, Crashes: crashes, ReportLeaving: reportLeaving(l),
+		Drain:  d,
 		Budget: gate.NewBudget(gate.BudgetConfig{Ratio: g.RetryRatio, Slack: g.RetrySlack, Window: g.RetryWindow}),
 		Log:    logs.ForComponent(log, "gate"), MaxBodyBytes: cfg.MaxBodyBytes,
 		MaxBufferedBytes: int64(maxBufferedShare * float64(g.MemoryMB<<20)),
@@ -273,6 +275,7 @@
 	Clients  clients
 	Registry Registry
 	Gate     *gate.Gate
+	Drain    *drain.Drain
 	Log      *slog.Logger
 }
 
@@ -367,7 +370,7 @@
 
 // drainCallers turns readiness off, waits until the load balancer has noticed, and lets requests in flight finish.
 func drainCallers(ctx context.Context, p gatewayParams, callers *http.Server, log *slog.Logger) {
-	p.Gate.Stop()
+	p.Drain.Begin(p.Clock())
 	log.Info("readiness is off", "balancer_delay", p.Config.BalancerDelay)
 	select {
 	case <-time.After(p.Config.BalancerDelay):
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -5,11 +5,11 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"baobabreach/internal/audit"
 	"baobabreach/internal/config"
+	"baobabreach/internal/drain"
 	"baobabreach/internal/entry"
 	"baobabreach/internal/errs"
 	"baobabreach/internal/logs"
@@ -25,28 +25,21 @@
 	"go.uber.org/fx"
 )
 
-// shutdownState records that the daemon is stopping, which makes the readiness check fail.
-type shutdownState struct {
-	stopping atomic.Bool
-}
-
-func newShutdownState() *shutdownState { return &shutdownState{} }
-
 type listenerParams struct {
 	fx.In
 
-	Config   config.Config
-	Shutdown *shutdownState
-	Entry    *entry.Server
-	Replica  *localReplica
-	Leader   *peer.LeaderClient
-	View     *route.View
-	Metrics  *metric.Registry
-	Clock    Clock
-	Tokens   tokens
-	Clients  clients
-	Audit    *audit.Ring
-	Slots    *slots.Slots
+	Config  config.Config
+	Drain   *drain.Drain
+	Entry   *entry.Server
+	Replica *localReplica
+	Leader  *peer.LeaderClient
+	View    *route.View
+	Metrics *metric.Registry
+	Clock   Clock
+	Tokens  tokens
+	Clients clients
+	Audit   *audit.Ring
+	Slots   *slots.Slots
 }
 
 // servers holds the HTTP servers of the caller, control and operator addresses.
@@ -103,10 +96,10 @@
 
 // startDrain registers the graceful shutdown. It must be invoked last, so that its stop hook runs before the lease
 // renewal and the replica stop: requests in flight need them until they finish.
-func startDrain(lc fx.Lifecycle, cfg config.Config, s servers, st *shutdownState, root *slog.Logger) {
+func startDrain(lc fx.Lifecycle, cfg config.Config, s servers, d *drain.Drain, now Clock, root *slog.Logger) {
 	log := logs.ForComponent(root, "stop")
 	lc.Append(fx.Hook{OnStop: func(ctx context.Context) error {
-		st.stopping.Store(true)
+		d.Begin(now())
 		log.Info("readiness is off", "balancer_delay", cfg.BalancerDelay)
 		select {
 		case <-time.After(cfg.BalancerDelay):
@@ -175,7 +168,7 @@
 func writeReadiness(w http.ResponseWriter, p listenerParams) {
 	t, _ := p.View.Table()
 	switch {
-	case p.Shutdown.stopping.Load():
+	case p.Drain.Stopping():
 		peer.WriteError(w, proto.NotRun(proto.CodeStopping, http.StatusServiceUnavailable, "the host is stopping"))
 	case len(t.Services) == 0:
 		peer.WriteError(w, proto.NotRun(proto.CodeNoLease, http.StatusServiceUnavailable, "no routing table yet"))
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -22,6 +22,7 @@
 
 	"baobabreach/internal/admit"
 	"baobabreach/internal/claim"
+	"baobabreach/internal/drain"
 	"baobabreach/internal/entry"
 	"baobabreach/internal/metric"
 	"baobabreach/internal/model"
@@ -37,6 +38,8 @@
 	server http.Handler
 	client *http.Client
 	policy *retry.Policy
+	drain  *drain.Drain
+	clock  func() time.Duration
 	// sends counts the requests that reached an upstream, and proposals counts the commands passed to Propose.
 	sends, proposals atomic.Int64
 }
@@ -44,10 +47,11 @@
 // newTestServer returns a server whose upstreams call reply with the number of the request and the raw connection. If
 // overLimit is set, every request is refused as over its limit.
 func newTestServer(t *testing.T, overLimit bool, reply func(n int64, r *http.Request, c net.Conn)) *testServer {
-	ts := &testServer{view: route.NewView(), policy: retry.NewPolicy()}
+	ts := &testServer{view: route.NewView(), policy: retry.NewPolicy(), drain: drain.New(drain.Config{Timeout: time.Second})}
 	t.Cleanup(func() { ts.client.CloseIdleConnections() })
 	start := time.Now()
 	clock := func() time.Duration { return time.Since(start) }
+	ts.clock = clock
 	ts.setTable(1)
 	dial := func(context.Context, string, string) (net.Conn, error) {
 		clientConn, serverConn := net.Pipe()
@@ -57,6 +61,7 @@
 	ts.client = &http.Client{Transport: &http.Transport{DialContext: dial}}
 	s := entry.New(entry.Config{
 		Host: "a1", View: ts.view, Clock: clock, Metrics: metric.New(), Log: slog.New(slog.DiscardHandler), Retry: ts.policy,
+		Drain:        ts.drain,
 		MaxBodyBytes: 100, MaxResponseBytes: 1000, MaxHeaderBytes: 2000,
 		Client: ts.client,
 		Propose: func(_ context.Context, c state.Command) (state.Result, error) {
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -98,6 +98,9 @@
 ) (*Response, *proto.Error) {
 	slotReq := SlotRequest{Request: req, Upstreams: upstreams}
 	if s.cfg.Relay != nil {
+		if err := s.checkStop(ctx); err != nil {
+			return nil, err
+		}
 		if mayForward != nil && !mayForward() {
 			return nil, errLeaseEnded()
 		}
@@ -143,10 +146,14 @@
 		return nil, err
 	}
 	start := s.cfg.Clock()
-	if mayForward != nil && !mayForward() {
+	err = s.checkStop(ctx)
+	if err == nil && mayForward != nil && !mayForward() {
+		err = errLeaseEnded()
+	}
+	if err != nil {
 		guarded.end(ctx, false, false)
 		release(admit.Result{Kind: admit.KindNeutral})
-		return nil, errLeaseEnded()
+		return nil, err
 	}
 	resp, err := s.send(ctx, req, u, assignment)
 	guarded.end(ctx, brokeConnection(ctx, err), err == nil)
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -13,6 +13,7 @@
 	"baobabreach/internal/admit"
 	"baobabreach/internal/audit"
 	"baobabreach/internal/claim"
+	"baobabreach/internal/drain"
 	"baobabreach/internal/metric"
 	"baobabreach/internal/model"
 	"baobabreach/internal/peer"
@@ -43,6 +44,8 @@
 	// means no limits.
 	Limit func(now time.Duration, tenant string, class model.Class) (retryAfter time.Duration, ok bool)
 	Retry *retry.Policy
+	// Drain tells which requests may still be sent while the host is being stopped. Nil means that it never is.
+	Drain *drain.Drain
 	// MaxHeaderBytes bounds the total size of the request URI, header names and header values; 0 means no bound.
 	MaxHeaderBytes int64
 	// Guard blocks requests that crash upstreams; nil creates one that exchanges no crash reports with other hosts.
@@ -131,12 +134,26 @@
 }
 
 func (s *Server) run(ctx context.Context, req *Request) (*Response, *proto.Error) {
+	if err := s.checkStop(ctx); err != nil {
+		return nil, err
+	}
 	if req.Idempotent {
 		return s.runIdempotent(ctx, req)
 	}
 	return s.runAtMostOnce(ctx, req)
 }
 
+// checkStop refuses a request that may outlast this host because it is being stopped.
+func (s *Server) checkStop(ctx context.Context) *proto.Error {
+	deadline, ok := ctx.Deadline()
+	now := s.cfg.Clock()
+	if !ok || s.cfg.Drain.MaySend(now, now+time.Until(deadline)) {
+		return nil
+	}
+	return proto.NotRun(proto.CodeStopping, http.StatusServiceUnavailable, "host %s stops before the deadline of the request",
+		s.cfg.Host)
+}
+
 // checkLimit refuses a request over the limit of its tenant and class.
 func (s *Server) checkLimit(now time.Duration, req *Request) *proto.Error {
 	if s.cfg.Limit == nil {
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -129,6 +129,9 @@
 	if resp, ok := c.readBody(r, t.Bounds); !ok {
 		return resp
 	}
+	if !c.maySend() {
+		return c.refuseStopping(ctx)
+	}
 	c.gate.cfg.Budget.RecordRequest(c.now(), c.service, c.gate.hostCount())
 	c.keyed = t.Services[c.service].Keyed
 	if c.keyed {
@@ -179,6 +182,10 @@
 		default:
 			return c.giveUp(ctx, proto.CodeNoUpstream, "no upstream is left to try")
 		}
+		if !c.maySend() {
+			c.endAttempt(chosen, assign.ResultNeutral, pipe.Notice{}, 0)
+			return c.refuseStopping(ctx)
+		}
 		resp, failure := c.send(ctx, r, chosen)
 		if failure == nil {
 			if !c.shouldRetryResponse(resp) {
@@ -192,6 +199,13 @@
 	}
 }
 
+// maySend reports whether the host, if it is being stopped, runs long enough to pass on the response of an upstream.
+func (c *call) maySend() bool { return c.gate.cfg.Drain.MaySend(c.now(), c.deadline) }
+
+func (c *call) refuseStopping(ctx context.Context) response {
+	return c.giveUp(ctx, proto.CodeStopping, "the host stops before the deadline of the request")
+}
+
 // send makes one attempt at an upstream for which the picker has already counted the request as in flight.
 func (c *call) send(ctx context.Context, r *http.Request, chosen choice) (*pipe.Response, *pipe.Failure) {
 	now := c.now()
@@ -340,7 +354,7 @@
 	if resp.retryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(resp.retryAfter.Seconds(), 'f', 3, 64))
 	}
-	if c.gate.stopping.Load() {
+	if c.gate.cfg.Drain.Stopping() {
 		h.Set("Connection", "close")
 	}
 	h.Set("Content-Length", strconv.Itoa(len(resp.Body)))
--- a/internal/gate/fixture_test.go
+++ b/internal/gate/fixture_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"baobabreach/internal/drain"
 	"baobabreach/internal/gate"
 	"baobabreach/internal/model"
 	"baobabreach/internal/pipe"
@@ -105,6 +106,7 @@
 	t       *testing.T
 	gate    *gate.Gate
 	crashes *gate.CrashGuard
+	drain   *drain.Drain
 	view    *route.View
 	now     time.Duration
 	mu      sync.Mutex
@@ -147,7 +149,9 @@
 // newFixtureWith returns a fixture whose configuration configure may change.
 func newFixtureWith(t *testing.T, configure func(cfg *gate.Config)) *fixture {
 	t.Helper()
-	f := &fixture{t: t, view: route.NewView(), now: time.Hour}
+	f := &fixture{t: t, view: route.NewView(), now: time.Hour, drain: drain.New(drain.Config{
+		BalancerDelay: 2 * time.Second, Timeout: 3 * time.Second,
+	})}
 	pool := pipe.New(pipe.Config{
 		Names: names, Dial: (&net.Dialer{Timeout: time.Second}).DialContext, Now: f.clock,
 		MaxHeadBytes: 64 << 10, MaxResponseBytes: 1 << 20, MaxIdle: 2,
@@ -157,7 +161,7 @@
 		Host: "h1", Clock: f.clock, Probe: pool.Probe, View: f.view, Log: log,
 	})
 	cfg := gate.Config{
-		Names: names, View: f.view, Clock: f.clock, DataCentre: "a",
+		Names: names, View: f.view, Clock: f.clock, DataCentre: "a", Drain: f.drain,
 		MaxBodyBytes: 1 << 20, MaxBufferedBytes: 8 << 20, Pool: pool, Crashes: f.crashes, Log: log,
 		Picker: gate.NewPicker("a", func(int) int { return 0 }),
 		Budget: gate.NewBudget(gate.BudgetConfig{Ratio: 0.2, Slack: 40, Window: 10 * time.Second}),
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"baobabreach/internal/drain"
 	"baobabreach/internal/metric"
 	"baobabreach/internal/model"
 	"baobabreach/internal/pipe"
@@ -27,6 +28,8 @@
 	// DataCentre is that of the host.
 	DataCentre string
 	Budget     *Budget
+	// Drain tells which requests may still be sent while the host is being stopped. Nil means that it never is.
+	Drain *drain.Drain
 	// Crashes keeps requests that crash upstreams away from them. Nil uses a guard that reports to no leader.
 	Crashes *CrashGuard
 	// ReportLeaving tells the leader which upstreams have said in their answers that they leave. Nil reports nothing.
@@ -45,7 +48,6 @@
 type Gate struct {
 	cfg           Config
 	bufferedBytes atomic.Int64
-	stopping      atomic.Bool
 	serviceTimes  *serviceTimeEstimator
 	upstreams     upstreamCache
 	notices       *notices
@@ -59,13 +61,10 @@
 	return &Gate{cfg: cfg, serviceTimes: newServiceTimeEstimator(), notices: newNotices()}
 }
 
-// Stop makes the gate report that it is not ready and ask callers to close their connections.
-func (g *Gate) Stop() { g.stopping.Store(true) }
-
 // Ready reports whether the gate has routes to serve and is not stopping.
 func (g *Gate) Ready() bool {
 	t, _ := g.cfg.View.Table()
-	return !g.stopping.Load() && len(t.Routes) > 0
+	return !g.cfg.Drain.Stopping() && len(t.Routes) > 0
 }
 
 // findRoute returns the route of the host with the longest prefix of the path, or false. The routes of a table are sorted
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -24,7 +24,7 @@
 	is.True(f.gate.Ready())
 	is.Equal(f.do("GET", "/o/1", "").StatusCode, http.StatusOK)
 	is.Equal(f.do("GET", "/x/1", "").StatusCode, http.StatusNotFound)
-	f.gate.Stop()
+	f.drain.Begin(f.clock())
 	is.True(!f.gate.Ready())
 	is.Equal(f.do("GET", "/o/1", "").Header.Get("Connection"), "close")
 }
--- a/internal/gate/keyed.go
+++ b/internal/gate/keyed.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"baobabreach/internal/assign"
 	"baobabreach/internal/model"
 	"baobabreach/internal/pipe"
 	"baobabreach/internal/route"
@@ -32,6 +33,10 @@
 			code, reason := denialReason(admission)
 			return c.giveUp(ctx, code, reason)
 		}
+		if !c.maySend() {
+			c.endAttempt(chosen, assign.ResultNeutral, pipe.Notice{}, 0)
+			return c.refuseStopping(ctx)
+		}
 		resp, failure := c.sendKeyed(ctx, r, target, chosen, position)
 		if failure == nil {
 			if !c.shouldRetryResponse(resp) {
