Serve open connections until a stopping host ends

Cause: http.Server.Shutdown closes idle connections at once and drops a request that it has read on a connection without an earlier one.

After the balancer delay only the listener is closed now. Open connections are served, each with a last answer that asks to close it, until all are closed or the stop times out (idle ones for 5 s at most); what is still in flight then gets an answer before its connection is closed.

--- a/internal/daemon/export_test.go
+++ b/internal/daemon/export_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"log/slog"
+	"net"
 	"net/http"
 
 	"baobabreach/internal/config"
@@ -17,6 +19,19 @@
 // NewServer exposes newServer to external tests.
 var NewServer = newServer
 
+// StoppingServer is a server for callers.
+type StoppingServer struct{ *callerServer }
+
+// NewStoppingServer returns a server for callers that serves the handler on the listener.
+func NewStoppingServer(cfg config.Config, l net.Listener, h http.Handler) StoppingServer {
+	s := newCallerServer(cfg, newServer(h, 4<<10, 0), newDrain(cfg), newClock(), slog.New(slog.DiscardHandler))
+	go s.serve(l)
+	return StoppingServer{s}
+}
+
+// Stop stops the server.
+func (s StoppingServer) Stop(ctx context.Context) { s.stop(ctx) }
+
 // Routers returns the caller and operator routers of a daemon without a replica.
 func Routers(token string) (callers, operators http.Handler) {
 	p := listenerParams{
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -333,7 +333,7 @@
 	}
 	addServer("operator", p.Config.Operator, requireToken(p.Tokens.operator, operator))
 	addServer("registry", p.Config.Gateway.Registry, p.Adapter.Registry(p.Registry))
-	callers := addServer("caller", p.Config.Caller, p.Gate)
+	callers := newCallerServer(p.Config, addServer("caller", p.Config.Caller, p.Gate), p.Drain, p.Clock, log)
 	ready := addServer("ready", p.Config.Gateway.Ready, p.Adapter.Ready(p.Gate.Ready))
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
@@ -346,16 +346,20 @@
 				if ln.name == "control" || ln.name == "raft" {
 					l = countedListener{Listener: l, metrics: p.Metrics}
 				}
+				if ln.server == callers.server {
+					go callers.serve(l)
+					continue
+				}
 				go func() { _ = ln.server.Serve(l) }()
 			}
 			return nil
 		},
 		OnStop: func(ctx context.Context) error {
 			if p.Config.Caller != "" {
-				drainCallers(ctx, p, callers, log)
+				callers.stop(ctx)
 			}
 			for _, ln := range listeners {
-				if ln.server != callers && ln.server != ready {
+				if ln.server != callers.server && ln.server != ready {
 					_ = ln.server.Close()
 				}
 			}
@@ -368,21 +372,6 @@
 // connections for reuse.
 const gatewayIdleTimeout = 30 * time.Second
 
-// drainCallers turns readiness off, waits until the load balancer has noticed, and lets requests in flight finish.
-func drainCallers(ctx context.Context, p gatewayParams, callers *http.Server, log *slog.Logger) {
-	p.Drain.Begin(p.Clock())
-	log.Info("readiness is off", "balancer_delay", p.Config.BalancerDelay)
-	select {
-	case <-time.After(p.Config.BalancerDelay):
-	case <-ctx.Done():
-	}
-	ctx, cancel := context.WithTimeout(ctx, p.Config.StopTimeout)
-	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
-		log.Warn("requests in flight did not finish before the stop timeout", "error", err)
-	}
-}
-
 // startGate starts the lease and table renewal of an entry host and the periodic cleanup of its connection pool and gate.
 func startGate(
 	lc fx.Lifecycle, cfg config.Config, r *renewer, pool *pipe.Pool, g *gate.Gate, crashes *gate.CrashGuard,
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"time"
 
 	"baobabreach/internal/audit"
 	"baobabreach/internal/config"
@@ -40,11 +39,12 @@
 	Clients clients
 	Audit   *audit.Ring
 	Slots   *slots.Slots
+	Log     *slog.Logger
 }
 
 // servers holds the HTTP servers of the caller, control and operator addresses.
 type servers struct {
-	callers  *http.Server
+	callers  *callerServer
 	control  *http.Server
 	operator *http.Server
 }
@@ -56,7 +56,7 @@
 	}
 	return servers{
 		// The entry server checks the headers of callers itself.
-		callers:  serve(callerRouter(p)),
+		callers:  newCallerServer(p.Config, serve(callerRouter(p)), p.Drain, p.Clock, logs.ForComponent(p.Log, "stop")),
 		control:  serve(limitHeaders(controlRouter(p), limit)),
 		operator: serve(limitHeaders(operatorRouter(p), limit)),
 	}
@@ -73,7 +73,7 @@
 			}{
 				{"control", cfg.Control, s.control},
 				{"operator", cfg.Operator, s.operator},
-				{"caller", cfg.Caller, s.callers},
+				{"caller", cfg.Caller, s.callers.server},
 			} {
 				l, err := net.Listen("tcp", ln.address)
 				if err != nil {
@@ -83,6 +83,10 @@
 					l = countedListener{Listener: l, metrics: m}
 				}
 				log.Info("listening", "part", ln.name, "address", ln.address)
+				if ln.server == s.callers.server {
+					go s.callers.serve(l)
+					continue
+				}
 				go func() { _ = ln.server.Serve(l) }()
 			}
 			return nil
@@ -96,18 +100,10 @@
 
 // startDrain registers the graceful shutdown. It must be invoked last, so that its stop hook runs before the lease
 // renewal and the replica stop: requests in flight need them until they finish.
-func startDrain(lc fx.Lifecycle, cfg config.Config, s servers, d *drain.Drain, now Clock, root *slog.Logger) {
-	log := logs.ForComponent(root, "stop")
+func startDrain(lc fx.Lifecycle, s servers) {
 	lc.Append(fx.Hook{OnStop: func(ctx context.Context) error {
-		d.Begin(now())
-		log.Info("readiness is off", "balancer_delay", cfg.BalancerDelay)
-		select {
-		case <-time.After(cfg.BalancerDelay):
-		case <-ctx.Done():
-		}
-		ctx, cancel := context.WithTimeout(ctx, cfg.StopTimeout)
-		defer cancel()
-		return errs.Wrap(s.callers.Shutdown(ctx), "drain requests in flight")
+		s.callers.stop(ctx)
+		return nil
 	}})
 }
 
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -354,9 +354,6 @@
 	if resp.retryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(resp.retryAfter.Seconds(), 'f', 3, 64))
 	}
-	if c.gate.cfg.Drain.Stopping() {
-		h.Set("Connection", "close")
-	}
 	h.Set("Content-Length", strconv.Itoa(len(resp.Body)))
 	w.WriteHeader(resp.Status)
 	if r.Method != http.MethodHead {
@@ -399,7 +396,7 @@
 	}
 	if resp.code != "" {
 		attrs = append(attrs, slog.String("code", string(resp.code)), slog.String("reason", c.reason),
-			slog.Bool("caller_left", ctx.Err() != nil))
+			slog.Bool("caller_left", errors.Is(context.Cause(ctx), context.Canceled)))
 	}
 	if c.rangeEpoch > 0 {
 		attrs = append(attrs, slog.Int("key", c.key), slog.Uint64("first", c.rangeFirst), slog.Uint64("last", c.rangeLast),
--- a/internal/gate/drain_test.go
+++ b/internal/gate/drain_test.go
@@ -29,7 +29,6 @@
 			resp := f.do("POST", path, "x")
 			is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
 			is.True(resp.Header.Get("Retry-After") != "")
-			is.Equal(resp.Header.Get("Connection"), "close")
 			is.Equal(f.lastLogEntry()["code"], "stopping")
 			is.Equal(f.lastLogEntry()["outcome"], "not_run")
 			is.Equal(u.requestCount(), 1)
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -26,7 +26,6 @@
 	is.Equal(f.do("GET", "/x/1", "").StatusCode, http.StatusNotFound)
 	f.drain.Begin(f.clock())
 	is.True(!f.gate.Ready())
-	is.Equal(f.do("GET", "/o/1", "").Header.Get("Connection"), "close")
 }
 
 // Guards against running a non-idempotent request twice: after a send that may have reached the upstream it must not be
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -222,6 +222,7 @@
 	`"Priority","TrafficSplit","MaxAttempts","Version","Service"],"Rows":[` +
 	`["styles","a.example","/s/","safe","1500ms","400ms",1,null,2,"r1","styles"],` +
 	`["orders","a.example","/o/","unsafe","1500ms","400ms",1,null,2,"r1","orders"],` +
+	`["late","a.example","` + latePath + `","unsafe","5000ms","400ms",1,null,2,"r1","orders"],` +
 	`["moving","b.example","/v%d/","safe","1000ms","400ms",1,null,2,"r%d","orders"]]},` +
 	`"Services":{"Columns":["Name","HealthPath","MaxConnections","Sharded","Version"],` +
 	`"Rows":[["styles","/health",130,true,"r1"],["orders","/health",130,null,"r1"]]}}}`
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -85,6 +85,19 @@
 	checkRun(t, run, violations, err, cfg.Dir)
 }
 
+// Guards against orders that a stopping host takes too late to answer them: whose first or last bytes arrive after it has
+// closed its listener.
+func TestLateOrdersAreAnswered(t *testing.T) {
+	t.Parallel()
+	cfg := soak.Config{
+		DaemonPath: buildDaemon(t), Dir: t.TempDir(), LoopbackOctet: 2 + 2*((os.Getpid()+80)%120), EntryHosts: 3,
+	}
+	run, violations, err := soak.RunLateOrders(cfg)
+	answered, failed := run.Counts()
+	t.Logf("%d answered, %d failed", answered, failed)
+	checkRun(t, run, violations, err, cfg.Dir)
+}
+
 // Guards against requests that are cut off where planned work overlaps: stops of several hosts, hangups, changes of the
 // configuration and drained upstreams. SOAK_SEED and SOAK_SEEDS select the schedules.
 func TestOverlappingWorkCutsNothingOff(t *testing.T) {
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -291,7 +291,7 @@
 		crash(u)
 		panic(http.ErrAbortHandler)
 	}
-	time.Sleep(serviceTime)
+	time.Sleep(serviceTimeOf(r))
 	w.Header().Set("Response-Signature", u.id)
 	w.Header().Set("Content-Length", strconv.Itoa(len(id)))
 	_, _ = io.WriteString(w, id)
