Take room for request bodies before they are read

Cause: a body was counted only once it had been read whole, so bodies that arrived together were not limited at all.

Room is now taken before a body is read into it, from its declared length or step by step. Small bodies have room of their own, one body larger than the limit is held alone, and what finds no room is refused at once as not run with a time to come back.

--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -69,7 +68,7 @@
 	key                   int
 	rangeFirst, rangeLast uint64
 	rangeEpoch            uint64
-	bodyBytes             int64
+	buffer                bodyBuffer
 }
 
 // maxLoggedAttempts is the largest number of failed attempts in the log line of a request.
@@ -140,32 +139,6 @@
 	return c.runUnkeyed(ctx, r)
 }
 
-// readBody buffers the whole body, so that it can be sent again on a retry.
-func (c *call) readBody(r *http.Request, b model.Bounds) (response, bool) {
-	maxBytes := b.BodyBytes
-	if maxBytes <= 0 {
-		maxBytes = c.gate.cfg.MaxBodyBytes
-	}
-	if r.ContentLength > maxBytes {
-		return response{Response: pipe.Response{Status: http.StatusRequestEntityTooLarge}, code: proto.CodeTooLarge}, false
-	}
-	if c.gate.bufferedBytes.Load() > c.gate.cfg.MaxBufferedBytes {
-		return c.refuse(proto.CodeOverloaded, "too many request bodies are held"), false
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxBytes+1))
-	c.bodyBytes = int64(len(body))
-	c.gate.bufferedBytes.Add(c.bodyBytes)
-	switch {
-	case err != nil:
-		c.reason = "body can't be read: " + err.Error()
-		return response{Response: pipe.Response{Status: http.StatusBadRequest}, code: proto.CodeBadRequest}, false
-	case int64(len(body)) > maxBytes:
-		return response{Response: pipe.Response{Status: http.StatusRequestEntityTooLarge}, code: proto.CodeTooLarge}, false
-	}
-	c.body = body
-	return response{}, true
-}
-
 // runUnkeyed handles a request that any upstream of the service may run.
 func (c *call) runUnkeyed(ctx context.Context, r *http.Request) response {
 	for {
@@ -338,7 +311,7 @@
 
 // finish writes the response and one log line.
 func (c *call) finish(w http.ResponseWriter, r *http.Request, resp response) {
-	c.gate.bufferedBytes.Add(-c.bodyBytes)
+	c.buffer.release()
 	h := w.Header()
 	for k, vs := range resp.Header {
 		h[k] = vs
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -7,7 +7,6 @@
 	"log/slog"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"baobabreach/internal/drain"
@@ -40,17 +39,18 @@
 	Metrics *metric.Registry
 	// MaxBodyBytes is the limit on a request body if the routing table sets none.
 	MaxBodyBytes int64
-	// MaxBufferedBytes is the number of buffered bytes of all request bodies above which further requests are refused.
+	// MaxBufferedBytes limits the bytes of all request bodies that are held or being read. A larger body within
+	// MaxBodyBytes is held alone.
 	MaxBufferedBytes int64
 }
 
 // Gate is an http.Handler that forwards caller requests to upstreams.
 type Gate struct {
-	cfg           Config
-	bufferedBytes atomic.Int64
-	serviceTimes  *serviceTimeEstimator
-	upstreams     upstreamCache
-	notices       *notices
+	cfg          Config
+	bodies       bodyRoom
+	serviceTimes *serviceTimeEstimator
+	upstreams    upstreamCache
+	notices      *notices
 }
 
 // New returns a gate, which is not ready before cfg.View has a table with routes.
@@ -58,7 +58,8 @@
 	if cfg.Crashes == nil {
 		cfg.Crashes = NewCrashGuard(CrashGuardConfig{Clock: cfg.Clock, Probe: cfg.Pool.Probe, View: cfg.View, Log: cfg.Log})
 	}
-	return &Gate{cfg: cfg, serviceTimes: newServiceTimeEstimator(), notices: newNotices()}
+	return &Gate{cfg: cfg, serviceTimes: newServiceTimeEstimator(), notices: newNotices(),
+		bodies: bodyRoom{limit: cfg.MaxBufferedBytes}}
 }
 
 // Ready reports whether the gate has routes to serve and is not stopping.
@@ -142,7 +143,7 @@
 func (g *Gate) Stats() Stats {
 	return Stats{
 		PickerStats: g.cfg.Picker.Stats(g.cfg.Clock()), CrashStats: g.cfg.Crashes.Stats(), RetriesLeft: g.cfg.Budget.Remaining(),
-		BufferedBytes: g.bufferedBytes.Load(),
+		BufferedBytes: g.bodies.taken(),
 	}
 }
 
