--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -58,8 +58,10 @@
 	if cfg.Crashes == nil {
 		cfg.Crashes = NewCrashGuard(CrashGuardConfig{Clock: cfg.Clock, Probe: cfg.Pool.Probe, View: cfg.View, Log: cfg.Log})
 	}
-	return &Gate{cfg: cfg, serviceTimes: newServiceTimeEstimator(), notices: newNotices(),
-		bodies: bodyRoom{limit: cfg.MaxBufferedBytes}}
+	return &Gate{
+		cfg: cfg, serviceTimes: newServiceTimeEstimator(), notices: newNotices(),
+		bodies: bodyRoom{limit: cfg.MaxBufferedBytes},
+	}
 }
 
 // Ready reports whether the gate has routes to serve and is not stopping.
