Compare epochs where a report shows that an upstream has a grant

Two late reports of an upstream, one with the keys under an earlier epoch and one without them, still gave the keys to another upstream after a change of the leader: the row of the earlier grant counted as proof that the present one had arrived.

Only a row with the epoch of the range counts now. Ranges that were split in place share an epoch, so one row proves the grant of all of them.

--- a/internal/owner/late_test.go
+++ b/internal/owner/late_test.go
@@ -7,6 +7,7 @@
 
 	"baobabreach/internal/model"
 	"baobabreach/internal/poison"
+	"baobabreach/internal/state"
 	"baobabreach/pkg/proto"
 
 	"github.com/matryer/is"
@@ -162,3 +163,42 @@
 	is.True(s.HasEnded("u904", 1))
 	is.True(!s.HasEnded("u903", 1))
 }
+
+// Guards against keys that two late announcements give back, one from an earlier grant of the same keys and one from after it:
+// they seem to show that the upstream has the present grant and gave it back.
+func TestLateAnnouncementsOfAnEarlierGrantGiveNothingBack(t *testing.T) {
+	is := is.New(t)
+	f := newRowsFleet(t)
+	a, b := newRowsUpstream("a", 1), newRowsUpstream("b", 2)
+	f.run(5*time.Second, a, b)
+	listing := b.announcement(f.now) // lists the keys under their first epochs
+	f.planner.RecordLeaving(f.machine.Model(), poison.Process{Name: "a", Incarnation: a.incarnation})
+	f.run(3*time.Second, a, b)
+	is.Equal(f.ownedCount(b), 8)
+	listingNone := b.announcement(f.now)
+	listingNone.Rows = &[]proto.Row{}
+	// The keys of b get new epochs: it loses them for a while to an upstream that leaves again.
+	var renewed []state.Command
+	for _, r := range f.machine.Model().Ranges {
+		renewed = append(renewed,
+			state.Command{Release: &state.Release{Range: r.ID, Epoch: r.Epoch}},
+			state.Command{Assign: &state.Assign{Range: r.ID, Epoch: r.Epoch, Owner: "b", Incarnation: b.incarnation}})
+	}
+	f.apply(renewed)
+	b.nextAnnounce = f.now
+	f.run(time.Second, b)
+	is.True(len(b.held(f.now)) > 0)
+
+	f.elect()
+	c := newRowsUpstream("c", 3)
+	f.run(rowsAnnounceInterval, c)
+	f.planner.RecordLeaving(f.machine.Model(), poison.Process{Name: "b", Incarnation: b.incarnation})
+	f.run(100*time.Millisecond, c)
+	for _, late := range []proto.Announcement{listing, listingNone} {
+		_, err := f.planner.Announce(f.now, f.machine.Model(), late)
+		is.True(err == nil)
+	}
+	b.nextAnnounce = f.now + time.Hour
+	f.run(time.Second, b, c)
+	is.True(len(b.held(f.now)) > 0)
+}
--- a/internal/owner/release.go
+++ b/internal/owner/release.go
@@ -33,23 +33,39 @@
 // increase, so none of this leader's grants is still in flight. Grants of an earlier leader may be newer than the
 // announcement.
 func (p *Planner) recordReleased(s *model.State, rec *upstreamRecord, an proto.Announcement) {
-	inherited := map[uint64]inheritedGrant{}
+	rec.inherited = p.inheritedAfter(s, rec, *an.Rows)
 	for _, i := range p.index.ownedBy(s, rec.info.Name) {
 		a := &s.Ranges[i]
-		if a.Incarnation != rec.info.Incarnation {
+		if a.Incarnation != rec.info.Incarnation || a.Phase != model.PhaseReleasing {
 			continue
 		}
-		listed := slices.ContainsFunc(*an.Rows, func(r proto.Row) bool { return r.Overlaps(a.First, a.Last) })
-		g := rec.inherited[a.Epoch]
-		if p.isInherited(a.Epoch) {
-			g.listed = g.listed || listed
-			inherited[a.Epoch] = g
-		}
-		if a.Phase == model.PhaseReleasing && !listed && (g.listed || !p.isInherited(a.Epoch)) {
+		holds := slices.ContainsFunc(*an.Rows, func(r proto.Row) bool { return r.Overlaps(a.First, a.Last) })
+		if !holds && (rec.inherited[a.Epoch].listed || !p.isInherited(a.Epoch)) {
 			rec.released[a.Fence()] = an.Sequence
 		}
 	}
-	rec.inherited = inherited
+}
+
+// inheritedAfter returns what is known about the inherited grants of the upstream after it listed the rows. Ranges that were
+// split in place share an epoch, and with it a grant.
+func (p *Planner) inheritedAfter(s *model.State, rec *upstreamRecord, rows []proto.Row) map[uint64]inheritedGrant {
+	out := map[uint64]inheritedGrant{}
+	for _, i := range p.index.ownedBy(s, rec.info.Name) {
+		a := &s.Ranges[i]
+		if a.Incarnation != rec.info.Incarnation || !p.isInherited(a.Epoch) {
+			continue
+		}
+		g, known := out[a.Epoch]
+		if !known {
+			g = rec.inherited[a.Epoch]
+		}
+		// A row with another epoch belongs to an earlier grant of the keys.
+		g.listed = g.listed || slices.ContainsFunc(rows, func(r proto.Row) bool {
+			return r.Epoch == a.Epoch && r.Overlaps(a.First, a.Last)
+		})
+		out[a.Epoch] = g
+	}
+	return out
 }
 
 // mayHold reports whether the upstream may still act as the owner of the range.
