Keep grants within what upstreams read

An upstream whose grant needs more than 100 rows now gets one new epoch for its ranges, so that adjacent ones share a row.

--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -33,6 +33,8 @@
 	// KindLeave marks an upstream as leaving. KindSplit splits a range without moving it.
 	KindLeave Kind = "leave"
 	KindSplit Kind = "cut"
+	// KindRenumber gives ranges of an upstream a new epoch without moving them.
+	KindRenumber Kind = "renumber"
 )
 
 // Decision is an entry of the audit log. Fields that its kind does not use are empty.
--- a/internal/daemon/registry.go
+++ b/internal/daemon/registry.go
@@ -78,6 +78,9 @@
 	return peer.CallLeader[Q, R](ctx, r.leader, path, timeout, q)
 }
 
+// Log returns the log of the registry.
+func (r Registry) Log() *slog.Logger { return r.log }
+
 // Announce processes the announcement of an upstream and returns its grant. An invalid announcement is rejected without a
 // call to the leader.
 func (r Registry) Announce(ctx context.Context, a proto.Announcement) (proto.Grant, error) {
--- a/internal/gate/body_test.go
+++ b/internal/gate/body_test.go
@@ -106,8 +106,8 @@
 	}
 }
 
-// Guards against a body that is within the limit on bodies and refused although no other one is held, and against bodies that
-// are changed on their way.
+// Guards against a body that is within the limit on bodies and refused although no other one is held, and against bodies
+// that are changed on their way.
 func TestLargeBodyIsServedAlone(t *testing.T) {
 	is := is.New(t)
 	f := newFixtureWith(t, func(cfg *gate.Config) { cfg.MaxBufferedBytes = 200 << 10 })
--- a/internal/node/audit.go
+++ b/internal/node/audit.go
@@ -70,6 +70,11 @@
 		d.Kind, d.Epoch = audit.KindSplit, c.SplitInPlace.Epoch
 		d.Reason = "the range has too large a share of the load to be moved whole"
 		return d, true
+	case c.Renumber != nil:
+		return audit.Decision{
+			Kind: audit.KindRenumber, Service: s.Upstreams[c.Renumber.Owner].Service, Upstream: c.Renumber.Owner,
+			Reason: "the upstream needs too many rows for its ranges",
+		}, true
 	case c.Leave != nil:
 		return audit.Decision{
 			Kind: audit.KindLeave, Service: s.Upstreams[c.Leave.Name].Service, Upstream: c.Leave.Name,
--- a/internal/owner/announce.go
+++ b/internal/owner/announce.go
@@ -156,10 +156,12 @@
 }
 
 // appendRows appends the row of an assignment to out, with the handover token of the previous holder if the upstream does
-// not hold the row yet. A row without a token extends the last row if that one is adjacent and has the same epoch and no
+// not hold the keys yet. A row without a token extends the last row if that one is adjacent and has the same epoch and no
 // token.
 func (h *handovers) appendRows(out []proto.Row, a *model.Assignment, held []proto.Row) []proto.Row {
-	known := slices.ContainsFunc(held, func(r proto.Row) bool { return r.Epoch == a.Epoch && r.Overlaps(a.First, a.Last) })
+	known := slices.ContainsFunc(held, func(r proto.Row) bool {
+		return r.Epoch == a.Epoch && r.Overlaps(a.First, a.Last) || r.First <= a.First && a.Last <= r.Last
+	})
 	if !known {
 		for _, x := range h.rows {
 			if x.service == a.Service && x.First <= a.First && a.Last <= x.Last {
--- a/internal/owner/late_test.go
+++ b/internal/owner/late_test.go
@@ -164,8 +164,8 @@
 	is.True(!s.HasEnded("u903", 1))
 }
 
-// Guards against keys that two late announcements give back, one from an earlier grant of the same keys and one from after it:
-// they seem to show that the upstream has the present grant and gave it back.
+// Guards against keys that two late announcements give back, one from the time of an earlier grant of the same keys and one
+// from after it: they seem to show that the upstream has the present grant and gave it back.
 func TestLateAnnouncementsOfAnEarlierGrantGiveNothingBack(t *testing.T) {
 	is := is.New(t)
 	f := newRowsFleet(t)
--- a/internal/owner/moves.go
+++ b/internal/owner/moves.go
@@ -98,6 +98,9 @@
 		}
 		m.assignFree()
 		budget -= m.planReleases(budget)
+		if s.Services[service].Ordered {
+			m.renumberLongGrants()
+		}
 		cs = append(cs, m.commands...)
 	}
 	return cs
--- a/internal/state/ranges.go
+++ b/internal/state/ranges.go
@@ -77,6 +77,36 @@
 	Boundaries []uint64 `json:"at"`
 }
 
+// Renumber gives ranges that an upstream holds one new epoch, so that adjacent ones form one row of a grant. A range that
+// the upstream no longer holds keeps its epoch.
+type Renumber struct {
+	Ranges      []uint64 `json:"ranges"`
+	Owner       string   `json:"owner"`
+	Incarnation uint64   `json:"incarnation"`
+}
+
+func (m *Machine) renumber(index uint64, c Renumber) Result {
+	u, ok := m.upstream(c.Owner, c.Incarnation)
+	if !ok {
+		return Result{}
+	}
+	changed := false
+	for _, id := range c.Ranges {
+		i, ok := m.rangeIndex(id)
+		if !ok || m.model.Ranges[i].Phase != model.PhaseHeld || !m.model.Ranges[i].OwnedBy(u) {
+			continue
+		}
+		a := m.model.Ranges[i]
+		a.Epoch, a.Changed = m.model.NextEpoch, index
+		m.setRange(i, a)
+		changed = true
+	}
+	if !changed {
+		return Result{}
+	}
+	return m.setModel(m.withNextIDs(m.model, 0, 1))
+}
+
 func (m *Machine) splitInPlace(index uint64, c SplitInPlace) Result {
 	i, ok := m.rangeIndex(c.Range)
 	if !ok || m.model.Ranges[i].Epoch != c.Epoch || m.model.Ranges[i].Phase != model.PhaseHeld {
@@ -112,6 +142,8 @@
 		return m.split(index, *c.Split)
 	case c.SplitInPlace != nil:
 		return m.splitInPlace(index, *c.SplitInPlace)
+	case c.Renumber != nil:
+		return m.renumber(index, *c.Renumber)
 	}
 	return m.merge(index, *c.Merge)
 }
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -31,6 +31,7 @@
 	Plan         *PlanIntent     `json:"plan,omitempty"`
 	Confirm      *ConfirmIntent  `json:"confirm,omitempty"`
 	SplitInPlace *SplitInPlace   `json:"cut,omitempty"`
+	Renumber     *Renumber       `json:"renumber,omitempty"`
 	Items        *model.Change   `json:"items,omitempty"`
 	Quarantine   *Quarantine     `json:"quarantine,omitempty"`
 }
@@ -171,7 +172,7 @@
 }
 
 func (c Command) isRangeCommand() bool {
-	return c.Assign != nil || c.Release != nil || c.Split != nil || c.Merge != nil || c.SplitInPlace != nil
+	return c.Assign != nil || c.Release != nil || c.Split != nil || c.Merge != nil || c.SplitInPlace != nil || c.Renumber != nil
 }
 
 func (m *Machine) applyUpstream(index uint64, c Command) Result {
