Start the retry budget of a restarted host empty

Cause: the budget lives in the memory of a process and started full. It now starts empty unless the whole fleet starts for the first time, and is earned by requests and time as before.

The two tests that count the retries of a first start say so in their settings now; what they check is unchanged.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -199,9 +199,11 @@
 	return gate.New(gate.Config{
 		Names: adapter.Names, View: v, Pool: p, Picker: gate.NewPicker(cfg.DataCentre, rand.IntN), Clock: now, Metrics: m,
 		Brokers: b.gateBrokers(), DataCentre: cfg.DataCentre, Crashes: crashes, ReportLeaving: reportLeaving(l),
-		Drain:  d,
-		Budget: gate.NewBudget(gate.BudgetConfig{Ratio: g.RetryRatio, Slack: g.RetrySlack, Window: g.RetryWindow}),
-		Log:    logs.ForComponent(log, "gate"), MaxBodyBytes: cfg.MaxBodyBytes,
+		Drain: d,
+		Budget: gate.NewBudget(gate.BudgetConfig{
+			Ratio: g.RetryRatio, Slack: g.RetrySlack, Window: g.RetryWindow, StartedAt: now(), FirstStart: g.FirstStart,
+		}),
+		Log: logs.ForComponent(log, "gate"), MaxBodyBytes: cfg.MaxBodyBytes,
 		MaxBufferedBytes: int64(maxBufferedShare * float64(g.MemoryMB<<20)),
 	})
 }
--- a/internal/gate/budget.go
+++ b/internal/gate/budget.go
@@ -11,6 +11,11 @@
 	Ratio  float64
 	Slack  float64
 	Window time.Duration
+	// StartedAt is the time of the start of the process.
+	StartedAt time.Duration
+	// FirstStart is true if the whole fleet starts for the first time. A process that is started later does not know what an
+	// earlier one on its host has spent in the present window.
+	FirstStart bool
 }
 
 const (
@@ -36,7 +41,7 @@
 	refilledAt time.Duration
 }
 
-// NewBudget returns a budget that starts full for each service.
+// NewBudget returns a budget that starts full at the first start of the fleet and empty otherwise.
 func NewBudget(cfg BudgetConfig) *Budget {
 	return &Budget{cfg: cfg, buckets: map[string]*tokenBucket{}}
 }
@@ -81,7 +86,10 @@
 func (b *Budget) refill(now time.Duration, service string, hostCount int) *tokenBucket {
 	t := b.buckets[service]
 	if t == nil {
-		t = &tokenBucket{tokens: b.burst(hostCount), refilledAt: now}
+		t = &tokenBucket{refilledAt: b.cfg.StartedAt}
+		if b.cfg.FirstStart {
+			t.tokens = b.burst(hostCount)
+		}
 		b.buckets[service] = t
 	}
 	if b.cfg.Window > 0 {
--- a/internal/gate/fixture_test.go
+++ b/internal/gate/fixture_test.go
@@ -164,7 +164,7 @@
 		Names: names, View: f.view, Clock: f.clock, DataCentre: "a", Drain: f.drain,
 		MaxBodyBytes: 1 << 20, MaxBufferedBytes: 8 << 20, Pool: pool, Crashes: f.crashes, Log: log,
 		Picker: gate.NewPicker("a", func(int) int { return 0 }),
-		Budget: gate.NewBudget(gate.BudgetConfig{Ratio: 0.2, Slack: 40, Window: 10 * time.Second}),
+		Budget: gate.NewBudget(gate.BudgetConfig{Ratio: 0.2, Slack: 40, Window: 10 * time.Second, FirstStart: true}),
 	}
 	configure(&cfg)
 	f.gate = gate.New(cfg)
--- a/internal/gate/pick_test.go
+++ b/internal/gate/pick_test.go
@@ -98,7 +98,7 @@
 func TestRetryBudgetIsSharedByHosts(t *testing.T) {
 	is := is.New(t)
 	const hosts, requests = 12, 500
-	cfg := gate.BudgetConfig{Ratio: 0.2, Slack: 64, Window: 10 * time.Second}
+	cfg := gate.BudgetConfig{Ratio: 0.2, Slack: 64, Window: 10 * time.Second, FirstStart: true}
 	resends := 0
 	for range hosts {
 		b := gate.NewBudget(cfg)
@@ -114,6 +114,43 @@
 	is.True(resends > hosts)
 }
 
+// Guards against hosts that are restarted again and again and together exceed the limit on retries, because each process
+// starts with a full budget.
+func TestRestartedHostsShareTheRetryBudget(t *testing.T) {
+	is := is.New(t)
+	const hosts, requests, restarts = 12, 500, 12
+	retries := func(firstStart bool) (n int, limit float64) {
+		cfg := gate.BudgetConfig{Ratio: 0.2, Slack: 64, Window: 10 * time.Second}
+		for range hosts {
+			var b *gate.Budget
+			for i := range requests {
+				now := time.Duration(i) * cfg.Window / requests
+				if i%(requests/restarts) == 0 {
+					cfg.StartedAt, cfg.FirstStart = now, firstStart && i == 0
+					b = gate.NewBudget(cfg)
+				}
+				b.RecordRequest(now, "orders", hosts)
+				for b.Allow(now, "orders", hosts) {
+					n++
+				}
+			}
+		}
+		return n, cfg.Ratio*hosts*requests + cfg.Slack
+	}
+	for _, firstStart := range []bool{true, false} {
+		n, limit := retries(firstStart)
+		is.True(float64(n) <= limit)
+		is.True(n > hosts*restarts) // a restarted host earns retries by its requests
+	}
+	// A service that is used long after the start has its whole slack.
+	b := gate.NewBudget(gate.BudgetConfig{Ratio: 0.2, Slack: 64, Window: 10 * time.Second})
+	n := 0
+	for b.Allow(time.Hour, "orders", hosts) {
+		n++
+	}
+	is.Equal(n, 3)
+}
+
 // Guards against idle connections of many hosts that together exceed the connection limit of an upstream.
 func TestIdleConnectionsRespectServiceLimit(t *testing.T) {
 	is := is.New(t)
--- a/internal/owner/renumber.go
+++ b/internal/owner/renumber.go
@@ -10,8 +10,8 @@
 const maxGrantRows = 100
 
 // renumberLongGrants gives the ranges of an upstream whose grant has become long one epoch, so that adjacent ones form one
-// row. Every range is assigned under an epoch of its own, and an upstream that has taken over the ranges of others would need
-// a row for each.
+// row. Every range is assigned under an epoch of its own, and an upstream that has taken over the ranges of others would
+// need a row for each.
 func (m *movePlan) renumberLongGrants() {
 	held := map[string][]*model.Assignment{}
 	for i := range m.ranges {
