Deliver status reports late in the soak

A new scenario lets upstreams leave or drain while replicas are stopped or killed, and delivers reports from before up to 6 s late, doubled and out of order.

--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,7 @@
 SEEDS ?= 50
 faults:
 	@echo "faults: SEED=$(SEED) SEEDS=$(SEEDS)"
-	SOAK_SEED=$(SEED) SOAK_SEEDS=$(SEEDS) go test -count=1 -timeout 0 -v -run 'TestFaults|TestOverlapping' ./internal/soak
+	SOAK_SEED=$(SEED) SOAK_SEEDS=$(SEEDS) go test -count=1 -timeout 0 -v -run 'TestFaults|TestOverlapping|TestLateReports' ./internal/soak
 
 clean:
 	rm -rf bin .bin demo-run
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -98,6 +98,23 @@
 	checkRun(t, run, violations, err, cfg.Dir)
 }
 
+// Guards against reports that arrive late, doubled or out of order after a change of the leader and bring an upstream that
+// has left back into use, or give its keys to another one. SOAK_SEED and SOAK_SEEDS select the schedules.
+func TestLateReportsChangeNothing(t *testing.T) {
+	t.Parallel()
+	daemonPath := buildDaemon(t)
+	first, count := envUint("SOAK_SEED", 1), envUint("SOAK_SEEDS", 1)
+	for i := range count {
+		cfg := soak.Config{
+			DaemonPath: daemonPath, Dir: t.TempDir(), LoopbackOctet: 2 + 2*((os.Getpid()+90+int(i))%120), EntryHosts: 3,
+		}
+		run, violations, err := soak.RunLateReports(cfg, first+i)
+		answered, failed := run.Counts()
+		t.Logf("seed %d: %d answered, %d failed", first+i, answered, failed)
+		checkRun(t, run, violations, err, cfg.Dir)
+	}
+}
+
 // Guards against requests that are cut off where planned work overlaps: stops of several hosts, hangups, changes of the
 // configuration and drained upstreams. SOAK_SEED and SOAK_SEEDS select the schedules.
 func TestOverlappingWorkCutsNothingOff(t *testing.T) {
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -84,6 +84,10 @@
 	// upstream as the token for the next holder.
 	released         [][]any
 	killed, draining bool
+	// left is true once the upstream announced that it leaves without draining. It goes on to serve and reports no more.
+	left bool
+	// sent holds the latest reports.
+	sent [][]byte
 	// silent is true if the upstream answers no request.
 	silent       bool
 	drainAckedAt time.Time
@@ -299,7 +303,7 @@
 
 func (u *Upstream) reportLoop() {
 	registryIndex := 0
-	for u.ctx.Err() == nil {
+	for u.ctx.Err() == nil && !u.hasLeft() {
 		delay := heartbeatInterval
 		ok := u.report(&registryIndex)
 		u.mu.Lock()
@@ -342,6 +346,8 @@
 		"WarmupLeft": "0ms", "Sequence": u.sequence, "born": u.incarnation, "Holds": held, "Released": u.released,
 	})
 	target := u.heartbeatURL
+	u.sent = append(u.sent, body)
+	u.sent = u.sent[max(0, len(u.sent)-maxKeptReports):]
 	u.mu.Unlock()
 	if err != nil {
 		return false
@@ -401,8 +407,9 @@
 	return false
 }
 
-func (u *Upstream) deregister(registryIndex int) {
-	u.callRegistry(http.MethodDelete, u.group.registries[registryIndex%len(u.group.registries)], nil)
+func (u *Upstream) deregister(registryIndex int) bool {
+	_, ok := u.callRegistry(http.MethodDelete, u.group.registries[registryIndex%len(u.group.registries)], nil)
+	return ok
 }
 
 // callRegistry sends a request to one registry and returns the response if it arrives within reportTimeout.
