Keep the logs of a failed scene

TestScenes/poison_post failed once beside load and could not be traced, because the fleet removes its logs. A step that fails now copies them to a directory that it names.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -277,6 +277,28 @@
 	return message
 }
 
+// CopyLogs copies the logs of all processes to a new temporary directory, which the caller removes.
+func (f *Fleet) CopyLogs() (string, error) {
+	names, err := filepath.Glob(filepath.Join(f.dir, "*.log"))
+	if err != nil {
+		return "", errors.Wrap(err, "list logs")
+	}
+	to, err := os.MkdirTemp("", "fleet-logs")
+	if err != nil {
+		return "", errors.Wrap(err, "create directory for logs")
+	}
+	for _, name := range names {
+		b, err := os.ReadFile(name)
+		if err != nil {
+			return to, errors.Wrap(err, "read log")
+		}
+		if err := os.WriteFile(filepath.Join(to, filepath.Base(name)), b, 0o600); err != nil {
+			return to, errors.Wrap(err, "copy log")
+		}
+	}
+	return to, nil
+}
+
 func logTail(name string) string {
 	const maxBytes = 400
 	b, err := os.ReadFile(name)
--- a/internal/scene/scene_test.go
+++ b/internal/scene/scene_test.go
@@ -105,7 +105,14 @@
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), stepTimeout)
 		defer cancel()
-		ts.Check(fn(ts.Value("scene").(*scenario), ctx, ts, args))
+		s := ts.Value("scene").(*scenario)
+		err := fn(s, ctx, ts, args)
+		if err != nil && s.fleet != nil {
+			// The fleet removes its logs when the script ends.
+			logs, copyErr := s.fleet.CopyLogs()
+			ts.Logf("logs in %s (error: %v)", logs, copyErr)
+		}
+		ts.Check(err)
 	}
 }
 
