--- a/internal/owner/announce.go
+++ b/internal/owner/announce.go
@@ -160,7 +160,7 @@
 // token.
 func (h *handovers) appendRows(out []proto.Row, a *model.Assignment, held []proto.Row) []proto.Row {
 	known := slices.ContainsFunc(held, func(r proto.Row) bool {
-		return r.Epoch == a.Epoch && r.Overlaps(a.First, a.Last) || r.First <= a.First && a.Last <= r.Last
+		return (r.Epoch == a.Epoch && r.Overlaps(a.First, a.Last)) || (r.First <= a.First && a.Last <= r.Last)
 	})
 	if !known {
 		for _, x := range h.rows {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -102,32 +102,31 @@
 // has left back into use, or give its keys to another one. SOAK_SEED and SOAK_SEEDS select the schedules.
 func TestLateReportsChangeNothing(t *testing.T) {
 	t.Parallel()
-	daemonPath := buildDaemon(t)
-	first, count := envUint("SOAK_SEED", 1), envUint("SOAK_SEEDS", 1)
-	for i := range count {
-		cfg := soak.Config{
-			DaemonPath: daemonPath, Dir: t.TempDir(), LoopbackOctet: 2 + 2*((os.Getpid()+90+int(i))%120), EntryHosts: 3,
-		}
-		run, violations, err := soak.RunLateReports(cfg, first+i)
-		answered, failed := run.Counts()
-		t.Logf("seed %d: %d answered, %d failed", first+i, answered, failed)
-		checkRun(t, run, violations, err, cfg.Dir)
-	}
+	runSeeds(t, 90, 3, soak.RunLateReports)
 }
 
 // Guards against requests that are cut off where planned work overlaps: stops of several hosts, hangups, changes of the
 // configuration and drained upstreams. SOAK_SEED and SOAK_SEEDS select the schedules.
 func TestOverlappingWorkCutsNothingOff(t *testing.T) {
+	runSeeds(t, 20, 4, soak.RunOverlappingWork)
+}
+
+// runSeeds runs the schedules that SOAK_SEED and SOAK_SEEDS select, one of them by default.
+func runSeeds(
+	t *testing.T, firstOctet, entryHosts int, run func(cfg soak.Config, seed uint64) (*soak.Run, []string, error),
+) {
+	t.Helper()
 	daemonPath := buildDaemon(t)
 	first, count := envUint("SOAK_SEED", 1), envUint("SOAK_SEEDS", 1)
 	for i := range count {
 		cfg := soak.Config{
-			DaemonPath: daemonPath, Dir: t.TempDir(), LoopbackOctet: 2 + 2*((os.Getpid()+20+int(i))%120), EntryHosts: 4,
+			DaemonPath: daemonPath, Dir: t.TempDir(), LoopbackOctet: 2 + 2*((os.Getpid()+firstOctet+int(i))%120),
+			EntryHosts: entryHosts,
 		}
-		run, violations, err := soak.RunOverlappingWork(cfg, first+i)
-		answered, failed := run.Counts()
+		r, violations, err := run(cfg, first+i)
+		answered, failed := r.Counts()
 		t.Logf("seed %d: %d answered, %d failed", first+i, answered, failed)
-		checkRun(t, run, violations, err, cfg.Dir)
+		checkRun(t, r, violations, err, cfg.Dir)
 	}
 }
 
