Bound the runs of keys that an upstream gets

Cause: the renumbering of joins adjacent ranges only. Ranges without an owner went to the lightest upstream wherever they lie, so the few that stay got more separate runs than the 140 rows that fit into 4 KiB. The encoder left out the last rows, upstreams released these keys, and their tokens kept adjacent rows apart from then on. The renumbering also followed one pass after the assignment, so that the first answer was too long.

The planner now counts the runs of each upstream. One with 100 runs only gets ranges beside its own; balancing adds no runs beyond that; longer grants are shortened by moving runs to the owners beside them. Ranges are renumbered in the pass that assigns them, and a long grant goes without tokens.

--- a/internal/owner/announce.go
+++ b/internal/owner/announce.go
@@ -118,8 +118,7 @@
 }
 
 // appendRows appends the row of an assignment to out, with the handover token of the previous holder if the upstream does
-// not hold the keys yet. A row without a token extends the last row if that one is adjacent and has the same epoch and no
-// token.
+// not hold the keys yet.
 func (h *handovers) appendRows(out []proto.Row, a *model.Assignment, held []proto.Row) []proto.Row {
 	known := slices.ContainsFunc(held, func(r proto.Row) bool {
 		return (r.Epoch == a.Epoch && r.Overlaps(a.First, a.Last)) || (r.First <= a.First && a.Last <= r.Last)
@@ -131,9 +130,28 @@
 			}
 		}
 	}
-	if n := len(out); n > 0 && out[n-1].Epoch == a.Epoch && out[n-1].Last+1 == a.First && out[n-1].Handover == "" {
-		out[n-1].Last = a.Last
+	return appendRow(out, proto.Row{First: a.First, Last: a.Last, Epoch: a.Epoch})
+}
+
+// appendRow appends a row without a token, or extends the last row if that one is adjacent and has the same epoch and no
+// token.
+func appendRow(out []proto.Row, r proto.Row) []proto.Row {
+	if n := len(out); n > 0 && out[n-1].Epoch == r.Epoch && out[n-1].Last+1 == r.First && out[n-1].Handover == "" {
+		out[n-1].Last = r.Last
 		return out
 	}
-	return append(out, proto.Row{First: a.First, Last: a.Last, Epoch: a.Epoch})
+	return append(out, r)
+}
+
+// shortenRows gives up the tokens of a grant that has become long, so that adjacent rows join.
+func shortenRows(rows []proto.Row) []proto.Row {
+	if len(rows) <= maxGrantRows {
+		return rows
+	}
+	out := make([]proto.Row, 0, len(rows))
+	for _, r := range rows {
+		r.Handover = ""
+		out = appendRow(out, r)
+	}
+	return out
 }
--- a/internal/owner/assign.go
+++ b/internal/owner/assign.go
@@ -39,9 +39,15 @@
 			continue
 		}
 		name := m.chooseOwner(i, free)
+		if !m.fitsGrant(i, name) {
+			name = m.shortestGrant(i)
+			m.planner.nextOwner[a.ID] = name
+		}
+		m.setOwner(i, name)
 		m.ownerWeights[name] += m.weights[i]
 		if free && m.planner.canAnswerNow(m.now, name) {
 			delete(m.planner.nextOwner, a.ID)
+			m.assigned[i] = true
 			m.commands = append(m.commands, state.Command{Assign: &state.Assign{
 				Range: a.ID, Epoch: a.Epoch, Owner: name, Incarnation: m.s.Upstreams[name].Incarnation,
 			}})
--- a/internal/owner/balance.go
+++ b/internal/owner/balance.go
@@ -28,6 +28,9 @@
 	}
 	m.releaseHot(budget, taken, release)
 	m.releaseCold(budget, taken, release)
+	if m.ordered() {
+		m.shortenGrants(taken, release)
+	}
 	m.balance(budget, taken, release)
 	return len(taken)
 }
@@ -127,7 +130,7 @@
 		from, to := m.heaviest(unmovable), m.lightest()
 		heavy := m.ownerWeights[from] > fullWeight+int64(noise[from]*weightPerSlot)
 		light := m.ownerWeights[to] < m.meanWeight/lightDivisor
-		k := m.bestMove(byOwner[from], m.ownerWeights[from]-m.ownerWeights[to]-tolerance)
+		k := m.bestMove(byOwner[from], to, m.ownerWeights[from]-m.ownerWeights[to]-tolerance)
 		if m.ordered() && !heavy && !light || m.ownerWeights[from] <= m.ownerWeights[to]+tolerance {
 			return
 		}
@@ -136,15 +139,12 @@
 			continue
 		}
 		i := byOwner[from][k]
-		a, w := m.ranges[i], m.weights[i]
 		if heavy {
-			to = m.recipient(from, to, w)
+			to = m.recipient(i, from, to)
 		}
 		byOwner[from] = slices.Delete(byOwner[from], k, k+1)
-		release(a)
-		m.planner.nextOwner[a.ID] = to
-		m.ownerWeights[from] -= w
-		m.ownerWeights[to] += w
+		release(m.ranges[i])
+		m.reassign(i, to)
 	}
 }
 
@@ -169,10 +169,10 @@
 // recipientDivisor allows a recipient that is heavier than the lightest upstream by up to a third of the difference.
 const recipientDivisor = 3
 
-// recipient returns the upstream that is to get a range of a heavier one. Among those about as light as the lightest,
-// it is the one that leaves the range without an owner for the shortest time. The old owner gives the range back with
-// its next announcement, and the new owner gets it in the answer to one of its own.
-func (m *movePlan) recipient(from, lightest string, w int64) string {
+// recipient returns the upstream that is to get the range at position i of a heavier one. Among those about as light as
+// the lightest, it is the one that leaves the range without an owner for the shortest time. The old owner gives the range
+// back with its next announcement, and the new owner gets it in the answer to one of its own.
+func (m *movePlan) recipient(i int, from, lightest string) string {
 	rec := m.planner.upstreams[from]
 	if !m.planner.cfg.SlowAnnouncements || rec == nil {
 		return lightest
@@ -180,17 +180,21 @@
 	freeAt := m.planner.nextAnnouncement(m.now, rec) + releaseTime
 	maxWeight := min(
 		(m.ownerWeights[from]-m.ownerWeights[lightest])/recipientDivisor+m.ownerWeights[lightest],
-		m.ownerWeights[from]-2*w)
-	return m.soonestTarget(lightest, maxWeight, func(to string) time.Duration { return m.grantDelay(freeAt, to) })
+		m.ownerWeights[from]-2*m.weights[i])
+	to := m.soonestTarget(lightest, maxWeight, func(to string) time.Duration { return m.grantDelay(freeAt, to) })
+	if !m.movable(i, to) {
+		return lightest
+	}
+	return to
 }
 
-// bestMove returns the position in held of the range whose move leaves the smallest difference, or -1 if no move
-// lowers the difference.
-func (m *movePlan) bestMove(held []int, difference int64) int {
+// bestMove returns the position in held of the range whose move leaves the smallest difference, or -1 if no range that may
+// move lowers the difference.
+func (m *movePlan) bestMove(held []int, to string, difference int64) int {
 	best, smallest := -1, difference
 	for k, i := range held {
 		w := m.weights[i]
-		if remaining := max(difference-2*w, 2*w-difference); remaining < smallest {
+		if remaining := max(difference-2*w, 2*w-difference); remaining < smallest && m.movable(i, to) {
 			best, smallest = k, remaining
 		}
 	}
--- a/internal/owner/moves.go
+++ b/internal/owner/moves.go
@@ -49,6 +49,12 @@
 	maxWeight        int64
 	hotKeys          []uint64
 	slotsPerUpstream int
+	// owners holds the future owner of each range in the order of ranges, "" if it isn't known yet, and runs the number of
+	// runs of adjacent ranges with the same owner. After a renumbering, each run takes one row of a grant.
+	owners []string
+	runs   map[string]int
+	// assigned holds the positions of the ranges that get an owner in commands.
+	assigned map[int]bool
 	// merged holds the parts of the merges in commands.
 	merged   map[uint64]bool
 	commands []state.Command
@@ -130,7 +136,7 @@
 	}
 	m := &movePlan{
 		planner: p, s: s, now: now, ranges: s.Ranges[start:end], slotsPerUpstream: math.MaxInt,
-		ownerWeights: map[string]int64{}, merged: map[uint64]bool{},
+		ownerWeights: map[string]int64{}, assigned: map[int]bool{}, merged: map[uint64]bool{},
 	}
 	m.rangeLoads = make([]float64, len(m.ranges))
 	for i := range m.ranges {
@@ -158,6 +164,7 @@
 		m.hotKeys = p.loads.hotKeys(service, m.slotsPerUpstream)
 	}
 	m.computeWeights()
+	m.computeRuns()
 	return m
 }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -369,6 +369,7 @@
 			g.Releasing = append(g.Releasing, a.Fence())
 		}
 	}
+	g.Rows = shortenRows(g.Rows)
 	if owned > 0 && homeOwned == owned {
 		g.TTLMs = homeGrantTTL.Milliseconds()
 	}
--- a/internal/owner/platform_test.go
+++ b/internal/owner/platform_test.go
@@ -32,6 +32,8 @@
 	// seconds during which a position had no owner, weighted by that share.
 	watched        map[uint64]float64
 	unownedSeconds float64
+	// limitAnswers is true if upstreams read only the part of a grant that fits into an answer.
+	limitAnswers bool
 }
 
 const (
@@ -132,6 +134,9 @@
 		f.apply(cs)
 		g = f.planner.Regrant(f.now, f.machine.Model(), an)
 	}
+	if f.limitAnswers && g.Rows != nil {
+		g.Rows = readableRows(g.Rows)
+	}
 	h.applyGrant(f.now, g)
 	if len(h.released) > 0 {
 		h.nextAnnounce = f.now + 80*time.Millisecond
--- a/internal/owner/renumber.go
+++ b/internal/owner/renumber.go
@@ -1,6 +1,8 @@
 package owner
 
 import (
+	"math"
+
 	"baobabreach/internal/model"
 	"baobabreach/internal/state"
 )
@@ -15,8 +17,13 @@
 func (m *movePlan) renumberLongGrants() {
 	held := map[string][]*model.Assignment{}
 	for i := range m.ranges {
-		if a := &m.ranges[i]; a.Phase == model.PhaseHeld {
-			held[a.Owner] = append(held[a.Owner], a)
+		a := m.ranges[i]
+		if m.assigned[i] {
+			// The new epoch differs from all others.
+			a = a.Hold(m.s.Upstreams[m.owners[i]], math.MaxUint64-uint64(i), a.Home, a.Changed)
+		}
+		if a.Phase == model.PhaseHeld {
+			held[a.Owner] = append(held[a.Owner], &a)
 		}
 	}
 	for _, name := range sortedKeys(held) {
