Read the log entry of the request in the tests of the gate

Trace: the crash guard logs "connection broke during a request" from a goroutine of its own, sometimes after the line of the request, and the test read the last line of any kind.

--- a/internal/gate/choose_test.go
+++ b/internal/gate/choose_test.go
@@ -76,7 +76,7 @@
 			is.Equal(r.StatusCode, http.StatusServiceUnavailable)
 			is.Equal(r.Header.Get("Retry-After"), "0.700")
 			is.Equal(upstream.requestCount(), 0)
-			is.Equal(f.lastLogEntry()["outcome"], "not_run")
+			is.Equal(f.lastRequestEntry()["outcome"], "not_run")
 			is.True(time.Since(startedAt) < 5*time.Second)
 		})
 	}
@@ -113,7 +113,7 @@
 	r := f.do("GET", "/s/1", "")
 	is.Equal(r.StatusCode, http.StatusServiceUnavailable)
 	is.Equal(silent.requestCount(), 0)
-	is.Equal(f.lastLogEntry()["outcome"], "not_run")
+	is.Equal(f.lastRequestEntry()["outcome"], "not_run")
 }
 
 // Guards against an upstream that resets connections while it is full and is then left alone as if it had failed.
--- a/internal/gate/drain_test.go
+++ b/internal/gate/drain_test.go
@@ -29,8 +29,8 @@
 			resp := f.do("POST", path, "x")
 			is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
 			is.True(resp.Header.Get("Retry-After") != "")
-			is.Equal(f.lastLogEntry()["code"], "stopping")
-			is.Equal(f.lastLogEntry()["outcome"], "not_run")
+			is.Equal(f.lastRequestEntry()["code"], "stopping")
+			is.Equal(f.lastRequestEntry()["outcome"], "not_run")
 			is.Equal(u.requestCount(), 1)
 		})
 	}
@@ -69,8 +69,8 @@
 			})
 			f.setTable(1, false, newUpstream("u1", u), newUpstream("u2", u))
 			is.Equal(f.do("POST", c.path, "x").StatusCode, http.StatusServiceUnavailable)
-			is.Equal(f.lastLogEntry()["code"], "stopping")
-			is.Equal(f.lastLogEntry()["outcome"], "not_run")
+			is.Equal(f.lastRequestEntry()["code"], "stopping")
+			is.Equal(f.lastRequestEntry()["outcome"], "not_run")
 			is.Equal(u.requestCount(), c.sends)
 			if !c.refused {
 				is.Equal(brokers.results[len(brokers.results)-1], assign.ResultNeutral) // the broker gets the slot back
--- a/internal/gate/fixture_test.go
+++ b/internal/gate/fixture_test.go
@@ -226,14 +226,20 @@
 	Header     http.Header
 }
 
-func (f *fixture) lastLogEntry() map[string]any {
+// lastRequestEntry returns the log entry of the last request. Background work may have logged since.
+func (f *fixture) lastRequestEntry() map[string]any {
 	f.t.Helper()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	lines := strings.Split(strings.TrimSpace(f.log.String()), "\n")
-	var m map[string]any
-	if err := json.Unmarshal([]byte(lines[len(lines)-1]), &m); err != nil {
-		f.t.Fatal(err)
+	var last map[string]any
+	for line := range strings.Lines(f.log.String()) {
+		var m map[string]any
+		if err := json.Unmarshal([]byte(line), &m); err != nil {
+			f.t.Fatal(err)
+		}
+		if m["msg"] == "request" {
+			last = m
+		}
 	}
-	return m
+	return last
 }
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -37,7 +37,7 @@
 	f.setTable(1, false, newUpstream("u1", b1), newUpstream("u2", b2))
 	is.Equal(f.do("POST", "/o/1", "x").StatusCode, http.StatusBadGateway)
 	is.Equal(b1.requestCount()+b2.requestCount(), 1)
-	is.Equal(f.lastLogEntry()["outcome"], "unknown")
+	is.Equal(f.lastRequestEntry()["outcome"], "unknown")
 }
 
 // Guards against failing a non-idempotent request that surely did not run: after a refusal or a failed dial it must be
@@ -63,11 +63,11 @@
 	r := f.do("POST", "/o/1", "x")
 	is.Equal(r.StatusCode, http.StatusServiceUnavailable)
 	is.True(r.Header.Get("Retry-After") != "")
-	is.Equal(f.lastLogEntry()["outcome"], "not_run")
+	is.Equal(f.lastRequestEntry()["outcome"], "not_run")
 	f.setTable(2, false, newUpstream("u3", newFakeUpstream(t, neverRespond)))
 	r = f.do("POST", "/o/1", "x")
 	is.Equal(r.StatusCode, http.StatusGatewayTimeout)
-	is.Equal(f.lastLogEntry()["outcome"], "unknown")
+	is.Equal(f.lastRequestEntry()["outcome"], "unknown")
 }
 
 // Guards against failing an idempotent request after the first upstream's failure, and against trying more upstreams than
@@ -172,7 +172,7 @@
 	f.do("GET", "/o/1", "")
 	requireKeys := func(keys ...string) {
 		t.Helper()
-		m := f.lastLogEntry()
+		m := f.lastRequestEntry()
 		is.Equal(m["request"], "id-1")
 		for _, k := range keys {
 			if _, ok := m[k]; !ok {
--- a/internal/gate/notice_test.go
+++ b/internal/gate/notice_test.go
@@ -142,7 +142,7 @@
 	seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
 	is.NoErr(err)
 	is.True(seconds > 2 && seconds <= 3)
-	is.Equal(f.lastLogEntry()["sends"], 0.0)
+	is.Equal(f.lastRequestEntry()["sends"], 0.0)
 
 	f.advance(3100 * time.Millisecond)
 	before := fakes[0].requestCount() + fakes[1].requestCount() + fakes[2].requestCount() + fakes[3].requestCount()
