Bound the memory of all responses together

Cause: each response was bounded (heads 64 KiB, bodies 16 MiB), their sum by nothing. Class: a limit that holds for one and not for many at once.

New package room, from the room for request bodies: memory is taken before it is filled. The pool takes room for a response before it sends the request, which is refused as not run if there is none, and more as head and body arrive, whatever length was announced. If the room is full, the largest response of the upstream that has taken the most is aborted, so that responses of other upstreams are served. A response is counted until the caller has it; a response kept for a retry, too. A request body is no longer referenced while a slow caller reads the response, since its room is given back by then.

New gauges: upstream.buffered_bytes, upstream.crowded_out_answers.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -25,6 +25,7 @@
 	"baobabreach/internal/peer"
 	"baobabreach/internal/pipe"
 	"baobabreach/internal/poison"
+	"baobabreach/internal/room"
 	"baobabreach/internal/route"
 	"baobabreach/pkg/proto"
 
@@ -60,7 +61,7 @@
 	firstAssignmentDelayHeartbeats = 1.3
 	// maxIdlePerUpstream limits the idle connections of a host to one upstream.
 	maxIdlePerUpstream = 6
-	// maxBufferedShare is the fraction of the memory that buffered request bodies may take.
+	// maxBufferedShare is the fraction of the memory that buffered request bodies may take, and that responses may.
 	maxBufferedShare         = 0.15
 	gatewayMaxResponseBytes  = 16 << 20
 	sweepInterval            = time.Second
@@ -187,7 +188,7 @@
 func newPipePool(cfg config.Config, dial DialFunc, now Clock, adapter Adapter) *pipe.Pool {
 	return pipe.New(pipe.Config{
 		Names: adapter.Names, Dial: dial, Now: now, MaxHeadBytes: cfg.MaxResponseHeaderBytes,
-		MaxResponseBytes: gatewayMaxResponseBytes, MaxIdle: maxIdlePerUpstream,
+		MaxResponseBytes: gatewayMaxResponseBytes, MaxIdle: maxIdlePerUpstream, Responses: room.New(maxBufferedBytes(cfg)),
 	})
 }
 
@@ -204,10 +205,14 @@
 			Ratio: g.RetryRatio, Slack: g.RetrySlack, Window: g.RetryWindow, StartedAt: now(), FirstStart: g.FirstStart,
 		}),
 		Log: logs.ForComponent(log, "gate"), MaxBodyBytes: cfg.MaxBodyBytes,
-		MaxBufferedBytes: int64(maxBufferedShare * float64(g.MemoryMB<<20)),
+		MaxBufferedBytes: maxBufferedBytes(cfg),
 	})
 }
 
+func maxBufferedBytes(cfg config.Config) int64 {
+	return int64(maxBufferedShare * float64(cfg.Gateway.MemoryMB<<20))
+}
+
 // reportToLeader sends a report to the leader. A leader of an earlier build does not know the path; repeating the report
 // would be in vain.
 func reportToLeader[Q any](ctx context.Context, l *peer.LeaderClient, path string, report Q) error {
--- a/internal/daemon/gauges.go
+++ b/internal/daemon/gauges.go
@@ -42,13 +42,7 @@
 		p.Metrics.SetGauge("table.version", int64(version))
 		p.Metrics.SetGauge("table.lease_left_ms", p.View.LeaseLeft(p.Clock()).Milliseconds())
 		p.Metrics.SetGauge("hosts", int64(p.View.HostCount()))
-		s := p.Pool.Stats()
-		p.Metrics.SetGauge("upstream.dials", s.Dials)
-		p.Metrics.SetGauge("upstream.reuses", s.Reuses)
-		p.Metrics.SetGauge("upstream.stale_connections", s.StaleIdle)
-		p.Metrics.SetGauge("upstream.crossed_answers", s.MismatchedResponses)
-		p.Metrics.SetGauge("upstream.oversized_answers", s.OversizedResponses)
-		p.Metrics.SetGauge("upstream.broken_connections", s.Broken)
+		p.updateUpstreamGauges()
 		g := p.Gate.Stats()
 		p.Metrics.SetGauge("upstream.ejected", g.Ejected)
 		p.Metrics.SetGauge("upstream.ejections", g.Ejections)
@@ -92,3 +86,15 @@
 	p.Metrics.SetGauge("state.upstreams", int64(len(m.Upstreams)))
 	p.Metrics.SetGauge("state.ranges", int64(len(m.Ranges)))
 }
+
+func (p gaugeParams) updateUpstreamGauges() {
+	s := p.Pool.Stats()
+	p.Metrics.SetGauge("upstream.dials", s.Dials)
+	p.Metrics.SetGauge("upstream.reuses", s.Reuses)
+	p.Metrics.SetGauge("upstream.stale_connections", s.StaleIdle)
+	p.Metrics.SetGauge("upstream.crossed_answers", s.MismatchedResponses)
+	p.Metrics.SetGauge("upstream.oversized_answers", s.OversizedResponses)
+	p.Metrics.SetGauge("upstream.crowded_out_answers", s.CrowdedOut)
+	p.Metrics.SetGauge("upstream.buffered_bytes", s.ResponseBytes)
+	p.Metrics.SetGauge("upstream.broken_connections", s.Broken)
+}
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -12,6 +12,7 @@
 	"baobabreach/internal/assign"
 	"baobabreach/internal/model"
 	"baobabreach/internal/pipe"
+	"baobabreach/internal/room"
 	"baobabreach/pkg/proto"
 
 	"github.com/go-faster/errors"
@@ -68,7 +69,10 @@
 	key                   int
 	rangeFirst, rangeLast uint64
 	rangeEpoch            uint64
-	buffer                bodyBuffer
+	// buffer is the room of the body.
+	buffer *room.Buffer
+	// responses holds the responses of upstreams until the caller has its own.
+	responses []*pipe.Response
 }
 
 // maxLoggedAttempts is the largest number of failed attempts in the log line of a request.
@@ -194,6 +198,7 @@
 	c.recordRun(ctx, u, now, failure)
 	c.recordNotice(u, notice)
 	if failure == nil {
+		c.responses = append(c.responses, resp)
 		c.mayHaveRun = true
 		c.tried[u.Name] = true
 		return resp, nil
@@ -222,7 +227,7 @@
 		return assign.ResultSuccess
 	case failure == nil:
 		return assign.ResultFailed
-	case isMisdirected(failure) && c.keyed:
+	case isMisdirected(failure) && c.keyed, failure.Stage == pipe.StageNotSent && failure.NoRoom():
 		return assign.ResultNeutral
 	case isMisdirected(failure):
 		return assign.ResultMisdirected
@@ -244,6 +249,9 @@
 	if resp.Status < http.StatusInternalServerError || !c.route.Idempotent || !c.takeRetryBudget() {
 		return false
 	}
+	if c.failedResponse != nil {
+		c.failedResponse.Release()
+	}
 	c.failedResponse = resp
 	c.recordFailedAttempt(c.upstream + " answered " + strconv.Itoa(resp.Status))
 	return true
@@ -264,8 +272,8 @@
 	case pipe.StageRefused:
 		return c.refusals < maxRefusals && c.takeRetryBudget()
 	}
-	// Nothing was sent to the upstream, so the next attempt needs no retry budget.
-	return len(c.tried) <= c.route.Attempts+1
+	// Nothing was sent to the upstream, so the next attempt needs no retry budget. It would find no room either.
+	return !failure.NoRoom() && len(c.tried) <= c.route.Attempts+1
 }
 
 // takeRetryBudget takes one retry from the budget unless the route's attempts are used up.
@@ -300,18 +308,24 @@
 }
 
 func errorCode(failure *pipe.Failure) proto.Code {
-	switch failure.Stage {
-	case pipe.StageNotSent:
-		return proto.CodeUpstreamFailed
-	case pipe.StageRefused:
+	switch {
+	case failure.Stage == pipe.StageRefused, failure.NoRoom():
 		return proto.CodeOverloaded
+	case failure.Stage == pipe.StageNotSent:
+		return proto.CodeUpstreamFailed
 	}
 	return proto.CodeConnectionLost
 }
 
 // finish writes the response and one log line.
 func (c *call) finish(w http.ResponseWriter, r *http.Request, resp response) {
-	c.buffer.release()
+	c.body = nil
+	c.buffer.Release()
+	defer func() {
+		for _, held := range c.responses {
+			held.Release()
+		}
+	}()
 	h := w.Header()
 	for k, vs := range resp.Header {
 		h[k] = vs
--- a/internal/gate/fixture_test.go
+++ b/internal/gate/fixture_test.go
@@ -96,6 +96,10 @@
 	writeResponse(c, r, "503 Full", "X-Not-Run: 1\r\n", "")
 }
 
+func respondError(c net.Conn, _ int, r *http.Request) {
+	writeResponse(c, r, "500 Internal Server Error", "X-Signed: s\r\n", "")
+}
+
 func neverRespond(c net.Conn, _ int, _ *http.Request) {
 	var b [1]byte
 	_, _ = c.Read(b[:])
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -13,6 +13,7 @@
 	"baobabreach/internal/metric"
 	"baobabreach/internal/model"
 	"baobabreach/internal/pipe"
+	"baobabreach/internal/room"
 	"baobabreach/internal/route"
 )
 
@@ -47,7 +48,7 @@
 // Gate is an http.Handler that forwards caller requests to upstreams.
 type Gate struct {
 	cfg          Config
-	bodies       bodyRoom
+	bodies       *room.Room
 	serviceTimes *serviceTimeEstimator
 	upstreams    upstreamCache
 	notices      *notices
@@ -60,7 +61,7 @@
 	}
 	return &Gate{
 		cfg: cfg, serviceTimes: newServiceTimeEstimator(), notices: newNotices(),
-		bodies: bodyRoom{limit: cfg.MaxBufferedBytes},
+		bodies: room.New(cfg.MaxBufferedBytes),
 	}
 }
 
@@ -145,7 +146,7 @@
 func (g *Gate) Stats() Stats {
 	return Stats{
 		PickerStats: g.cfg.Picker.Stats(g.cfg.Clock()), CrashStats: g.cfg.Crashes.Stats(), RetriesLeft: g.cfg.Budget.Remaining(),
-		BufferedBytes: g.bodies.taken(),
+		BufferedBytes: g.bodies.Taken(),
 	}
 }
 
--- a/internal/pipe/conn.go
+++ b/internal/pipe/conn.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"time"
 
+	"baobabreach/internal/room"
+
 	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
 )
@@ -46,6 +48,10 @@
 type limitedReader struct {
 	r    io.Reader
 	left int64
+	// head is the number of bytes of the present head that have been read.
+	head int64
+	// buffer is the room of the present response; nil while the connection is idle.
+	buffer *room.Buffer
 	// ended is true once the peer has closed or reset the connection.
 	ended bool
 }
@@ -58,9 +64,16 @@
 	if l.left > 0 && int64(len(b)) > l.left {
 		b = b[:l.left]
 	}
+	if l.left > 0 {
+		// A long head is held twice, as it was received and parsed.
+		if err := l.buffer.Resize(max(minResponseBytes, 2*(l.head+int64(len(b))))); err != nil {
+			return 0, errors.Wrap(err, "read head")
+		}
+	}
 	n, err := l.r.Read(b)
 	if l.left > 0 {
 		l.left -= int64(n)
+		l.head += int64(n)
 	}
 	l.ended = l.ended || isConnectionEnd(err)
 	return n, err
--- a/internal/pipe/pipe.go
+++ b/internal/pipe/pipe.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"time"
 
+	"baobabreach/internal/room"
+
 	"github.com/go-faster/errors"
 )
 
@@ -41,6 +43,8 @@
 	// accepted response body; both must be positive.
 	MaxHeadBytes     int64
 	MaxResponseBytes int64
+	// Responses is the memory for all responses that are being read or held. Nil means no limit.
+	Responses *room.Room
 	// MaxIdle is the initial limit on idle connections to one upstream; SetMaxIdle changes it.
 	MaxIdle int
 }
@@ -61,14 +65,18 @@
 	Address  string
 }
 
-// Response is a complete response of an upstream.
+// Response is a complete response of an upstream. It takes room among the responses of the pool until Release is called.
 type Response struct {
 	Status int
 	Header http.Header
 	Body   []byte
 	Notice Notice
+	buffer *room.Buffer
 }
 
+// Release gives back the room of the response, which must not be used afterwards. It may be called more than once.
+func (r *Response) Release() { r.buffer.Release() }
+
 // Notice is what a response says about its upstream, beside the request.
 type Notice struct {
 	// Leaving is true if the upstream is about to end.
@@ -118,14 +126,19 @@
 	return f.Stage == StageUnknown && (errors.Is(f.Err, syscall.ECONNRESET) || errors.Is(f.Err, syscall.EPIPE))
 }
 
+// NoRoom reports whether the response found no room beside others, or was aborted to make room for smaller ones.
+func (f *Failure) NoRoom() bool { return errors.Is(f.Err, room.ErrFull) }
+
 // Unwrap returns Err, which may be nil.
 func (f *Failure) Unwrap() error { return f.Err }
 
 // Stats counts dialled connections, reused connections, idle connections that were no longer usable, responses that
-// belonged to another request, responses whose head or body exceeded its limit, and connections that ended before a
-// response was complete.
+// belonged to another request, responses whose head or body exceeded its limit, responses that found no room beside others
+// or were aborted for them, and connections that ended before a response was complete.
 type Stats struct {
-	Dials, Reuses, StaleIdle, MismatchedResponses, OversizedResponses, Broken int64
+	Dials, Reuses, StaleIdle, MismatchedResponses, OversizedResponses, CrowdedOut, Broken int64
+	// ResponseBytes is the room that responses take now.
+	ResponseBytes int64
 }
 
 // Pool holds the connections of one host to all upstreams. It is safe for concurrent use.
@@ -140,13 +153,20 @@
 }
 
 // New returns an empty pool.
-func New(cfg Config) *Pool { return &Pool{cfg: cfg, idle: map[string][]*conn{}, maxIdle: cfg.MaxIdle} }
+func New(cfg Config) *Pool {
+	if cfg.Responses == nil {
+		cfg.Responses = room.Unlimited()
+	}
+	return &Pool{cfg: cfg, idle: map[string][]*conn{}, maxIdle: cfg.MaxIdle}
+}
 
 // Stats returns the counts since the pool was created.
 func (p *Pool) Stats() Stats {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.stats
+	s := p.stats
+	s.ResponseBytes = p.cfg.Responses.Taken()
+	return s
 }
 
 // SetMaxIdle sets the limit on idle connections to one upstream.
--- a/internal/pipe/send.go
+++ b/internal/pipe/send.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"time"
 
+	"baobabreach/internal/room"
+
 	"github.com/go-faster/errors"
 )
 
@@ -24,8 +26,32 @@
 // upstream may respond before it has read the whole body.
 const concurrentWriteBytes = 16 << 10
 
-// Send makes one attempt. It returns either a response or a failure.
+// minResponseBytes is the room that every response takes before the request is sent, for the read buffer and the head.
+const minResponseBytes = 2 * readBufferBytes
+
+// Send makes one attempt. It returns either a response, which must be released, or a failure.
 func (p *Pool) Send(ctx context.Context, req Request) (*Response, *Failure) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	buffer := p.cfg.Responses.NewAbortable(req.Address, func() { cancel(room.ErrFull) })
+	resp, failure := p.sendWithRoom(ctx, req, buffer)
+	if failure == nil {
+		return resp, nil
+	}
+	buffer.Release()
+	switch {
+	case failure.NoRoom():
+		p.updateStats(func(s *Stats) { s.CrowdedOut++ })
+	case failure.Broken:
+		p.updateStats(func(s *Stats) { s.Broken++ })
+	}
+	return nil, failure
+}
+
+func (p *Pool) sendWithRoom(ctx context.Context, req Request, buffer *room.Buffer) (*Response, *Failure) {
+	if err := buffer.Resize(minResponseBytes); err != nil {
+		return nil, &Failure{Stage: StageNotSent, Reason: "no room for the answer", Err: err}
+	}
 	c := p.takeIdle(req.Address)
 	if c == nil {
 		var err error
@@ -34,7 +60,9 @@
 		}
 	}
 	stop := context.AfterFunc(ctx, c.close)
+	c.limit.buffer = buffer
 	resp, reusable, failure := p.exchange(c, req)
+	c.limit.buffer = nil
 	if !stop() || !reusable {
 		c.close()
 	} else {
@@ -44,9 +72,6 @@
 	if failure != nil && ctx.Err() != nil {
 		failure.ConnFailed, failure.Broken, failure.Err = false, false, context.Cause(ctx)
 	}
-	if failure != nil && failure.Broken {
-		p.updateStats(func(s *Stats) { s.Broken++ })
-	}
 	return resp, failure
 }
 
@@ -151,8 +176,13 @@
 		p.updateStats(func(s *Stats) { s.MismatchedResponses++ })
 		return nil, false, unknownFailure("answer to another request "+strconv.Quote(id), nil)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, p.cfg.MaxResponseBytes+1))
+	body, err := c.limit.buffer.Read(resp.Body, p.cfg.MaxResponseBytes)
+	if err == nil {
+		err = c.limit.buffer.Complete()
+	}
 	switch {
+	case errors.Is(err, room.ErrFull):
+		return nil, false, unknownFailure("no room for the whole answer", err)
 	case err != nil:
 		return nil, false, c.brokenFailure("answer is truncated", err)
 	case int64(len(body)) > p.cfg.MaxResponseBytes:
@@ -167,7 +197,7 @@
 		return nil, reusable, failure
 	}
 	return &Response{
-		Status: resp.StatusCode, Header: EndToEndHeaders(resp.Header), Body: body, Notice: p.notice(resp),
+		Status: resp.StatusCode, Header: EndToEndHeaders(resp.Header), Body: body, Notice: p.notice(resp), buffer: c.limit.buffer,
 	}, reusable, nil
 }
 
@@ -219,7 +249,7 @@
 // readResponseHead reads the head of the final response and skips 1xx responses. All of them together may have
 // MaxHeadBytes. The time is limited by the context of the request, whose end closes the connection.
 func (p *Pool) readResponseHead(c *conn, method string) (*http.Response, error) {
-	c.limit.left = p.cfg.MaxHeadBytes
+	c.limit.left, c.limit.head = p.cfg.MaxHeadBytes, 0
 	// The body is limited by its reader.
 	defer func() { c.limit.left = -1 }()
 	for range maxInterimResponses {
