--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -47,6 +47,8 @@
 	LoopbackOctet int
 	// EntryHosts is the number of entry hosts.
 	EntryHosts int
+	// MemoryMB is the memory limit in the settings of the daemons; 0 leaves it out.
+	MemoryMB int
 }
 
 // Host is a daemon process and the proxy in front of it.
@@ -125,6 +127,9 @@
 	fmt.Fprintf(&b, "[log]\nformat = json\n[stop]\nbalancer_delay = 300ms\ntimeout = 2s\n[gateway]\n%s\n", ready)
 	fmt.Fprintf(&b, "seeds = %s\nfirst_start = %v\nheartbeat = %v\ngrant_ttl = 2s\nretry_slack = 200\n",
 		strings.Join(f.Registries(), ","), h.firstStart, heartbeatInterval)
+	if f.cfg.MemoryMB > 0 {
+		fmt.Fprintf(&b, "memory_mb = %d\n", f.cfg.MemoryMB)
+	}
 	return b.String()
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -105,6 +105,19 @@
 	runSeeds(t, 90, 3, soak.RunLateReports)
 }
 
+// Guards against upstreams that send bytes without end: entry hosts keep them until they run out of memory, and the requests
+// of all other callers end with them.
+func TestEndlessResponsesLeaveMemory(t *testing.T) {
+	cfg := soak.Config{
+		DaemonPath: buildDaemon(t), Dir: t.TempDir(), LoopbackOctet: 2 + 2*((os.Getpid()+110)%120), EntryHosts: 4,
+	}
+	run, violations, err := soak.RunEndlessResponses(cfg)
+	for _, e := range run.Events {
+		t.Log(e)
+	}
+	checkRun(t, run, violations, err, cfg.Dir)
+}
+
 // Guards against requests that are cut off where planned work overlaps: stops of several hosts, hangups, changes of the
 // configuration and drained upstreams. SOAK_SEED and SOAK_SEEDS select the schedules.
 func TestOverlappingWorkCutsNothingOff(t *testing.T) {
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -45,6 +45,15 @@
 	closed          bool
 	// crash is called by upstreams that run a request for crashTarget, unless it is nil.
 	crash func(u *Upstream)
+	// flood answers requests for floodTarget, unless it is nil.
+	flood func(w http.ResponseWriter, id string)
+}
+
+// SetFlood sets the function that answers requests for floodTarget.
+func (g *UpstreamGroup) SetFlood(flood func(w http.ResponseWriter, id string)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.flood = flood
 }
 
 // SetCrash sets the function that upstreams call when they run a request for crashTarget.
@@ -246,6 +255,12 @@
 	return g.crash
 }
 
+func (g *UpstreamGroup) floodFunc() func(w http.ResponseWriter, id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.flood
+}
+
 // checkExclusive reports a violation if another upstream of the service holds the key too.
 func (g *UpstreamGroup) checkExclusive(u *Upstream, key int) {
 	g.mu.Lock()
@@ -295,6 +310,10 @@
 		crash(u)
 		panic(http.ErrAbortHandler)
 	}
+	if flood := u.group.floodFunc(); flood != nil && strings.HasSuffix(r.URL.Path, floodTarget) {
+		flood(w, id)
+		return
+	}
 	time.Sleep(serviceTimeOf(r))
 	w.Header().Set("Response-Signature", u.id)
 	w.Header().Set("Content-Length", strconv.Itoa(len(id)))
