Bound the bodies and responses of the own interface together

Requests and responses now take room as on the platform's path, for the time of the whole request (room.Scope). A request without room for its body, or for the head of its response, is refused as not run. Relayed frames are no longer copied to put head and body together, and their responses have a length.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -43,6 +43,9 @@
 	MaxBodyBytes           int64
 	MaxResponseBytes       int64
 	MaxResponseHeaderBytes int64
+	// MaxBufferedBytes is the memory for request bodies that are held or being read, and as much again for responses;
+	// positive. A single larger one within its own limit is held alone.
+	MaxBufferedBytes int64
 	// BodyTimeout is the longest time in which a caller, upstream, operator or other daemon may send a body; positive.
 	BodyTimeout time.Duration
 	Policy      Policy
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -28,6 +28,7 @@
 	"baobabreach/internal/poison"
 	"baobabreach/internal/raft"
 	"baobabreach/internal/retry"
+	"baobabreach/internal/room"
 	"baobabreach/internal/route"
 	"baobabreach/internal/slots"
 	"baobabreach/internal/state"
@@ -95,7 +96,7 @@
 		fx.Provide(
 			newLogger, newClock, newTokens, newClients, newLeaderClient, metric.New, route.NewView,
 			newLocalReplica, newRenewer, newSlots, limit.NewHostLimiter, retry.NewPolicy, newGuard, newEntry,
-			suspectsOfEntry, newDrain, newServers, newAuditRing,
+			suspectsOfEntry, newDrain, newRooms, newServers, newAuditRing,
 		),
 		fx.Invoke(startListeners, startReplica, startRenewer, startSlots, startDrain),
 	)
@@ -249,11 +250,11 @@
 func newEntry(
 	cfg config.Config, v *route.View, l *peer.LeaderClient, c clients, g *entry.Guard, m *metric.Registry,
 	ring *audit.Ring, now Clock, s *slots.Slots, lim *limit.HostLimiter, rp *retry.Policy, d *drain.Drain,
-	log *slog.Logger,
+	rooms rooms, log *slog.Logger,
 ) *entry.Server {
 	ec := entry.Config{
 		Host: cfg.Host, DataCentre: cfg.DataCentre, View: v, Clock: now, Guard: g, Client: c.upstream,
-		Metrics: m, Audit: ring, Drain: d,
+		Metrics: m, Audit: ring, Drain: d, Requests: rooms.requests, Responses: rooms.responses,
 		Log: logs.ForComponent(log, "entry"), MaxBodyBytes: cfg.MaxBodyBytes, MaxResponseBytes: cfg.MaxResponseBytes,
 		Propose: func(ctx context.Context, cmd state.Command) (state.Result, error) {
 			results, err := peer.CallLeaderWithRetry[[]state.Command, []state.Result](ctx, l, peer.PathPropose, claimAttemptTimeout,
@@ -276,10 +277,21 @@
 	return server
 }
 
-func newSlots(cfg config.Config, v *route.View, now Clock, t tokens, c clients) *slots.Slots {
+// rooms is the memory for request bodies and for responses.
+type rooms struct{ requests, responses *room.Room }
+
+func newRooms(cfg config.Config) rooms {
+	limit := cfg.MaxBufferedBytes
+	if cfg.Gateway != nil {
+		limit = int64(maxBufferedShare * float64(cfg.Gateway.MemoryMB<<20))
+	}
+	return rooms{requests: room.New(limit), responses: room.New(limit)}
+}
+
+func newSlots(cfg config.Config, v *route.View, now Clock, t tokens, c clients, rooms rooms) *slots.Slots {
 	return slots.New(slots.Config{
 		Host: cfg.Host, DataCentre: cfg.DataCentre, Policy: cfg.Policy, View: v, Clock: now, Client: c.dispatch,
-		Token: t.control, MaxResponseBytes: cfg.MaxResponseBytes,
+		Token: t.control, MaxResponseBytes: cfg.MaxResponseBytes, Requests: rooms.requests, Responses: rooms.responses,
 	})
 }
 
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -103,7 +103,7 @@
 	cfg := config.Config{
 		Host: host, DataCentre: dc, Caller: address(i, h, 0), Control: address(i, h, 1), Operator: address(i, h, 2),
 		LogLevel: "error", LogFormat: "text", MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20, MaxResponseBytes: 1 << 20,
-		Policy: "relay", MaxMoves: 8, StopTimeout: time.Second, Services: []model.Service{
+		MaxBufferedBytes: 64 << 20, Policy: "relay", MaxMoves: 8, StopTimeout: time.Second, Services: []model.Service{
 			{
 				Name: "catalogue", Keyed: true, Ranges: 16, Class: model.ClassShort,
 				PartitionPolicy: model.PartitionMajority, DeadlineMs: 1000,
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -25,7 +25,6 @@
 	"baobabreach/internal/peer"
 	"baobabreach/internal/pipe"
 	"baobabreach/internal/poison"
-	"baobabreach/internal/room"
 	"baobabreach/internal/route"
 	"baobabreach/pkg/proto"
 
@@ -136,7 +135,7 @@
 		fx.Provide(
 			newGatewayLogger, newClock, newTokens, newClients, newSeedLeaderClient, metric.New, newGatewayView, newLocalReplica,
 			newRenewer, limit.NewHostLimiter, newCrashGuard, suspectsOfGate, newAuditRing, newGate, newPipePool,
-			newReplicaDirectory, newRegistry, newBrokerSocket, newDrain,
+			newReplicaDirectory, newRegistry, newBrokerSocket, newDrain, newRooms,
 		),
 		// fx stops these in reverse order, so that the table is kept up to date until the last caller is served.
 		fx.Invoke(
@@ -185,16 +184,16 @@
 	return peer.NewLeaderClient(c.control, t.control, seedAddresses(cfg))
 }
 
-func newPipePool(cfg config.Config, dial DialFunc, now Clock, adapter Adapter) *pipe.Pool {
+func newPipePool(cfg config.Config, dial DialFunc, now Clock, adapter Adapter, rooms rooms) *pipe.Pool {
 	return pipe.New(pipe.Config{
 		Names: adapter.Names, Dial: dial, Now: now, MaxHeadBytes: cfg.MaxResponseHeaderBytes,
-		MaxResponseBytes: gatewayMaxResponseBytes, MaxIdle: maxIdlePerUpstream, Responses: room.New(maxBufferedBytes(cfg)),
+		MaxResponseBytes: gatewayMaxResponseBytes, MaxIdle: maxIdlePerUpstream, Responses: rooms.responses,
 	})
 }
 
 func newGate(
 	cfg config.Config, v *route.View, p *pipe.Pool, now Clock, adapter Adapter, m *metric.Registry, b *brokerSocket,
-	crashes *gate.CrashGuard, l *peer.LeaderClient, d *drain.Drain, log *slog.Logger,
+	crashes *gate.CrashGuard, l *peer.LeaderClient, d *drain.Drain, rooms rooms, log *slog.Logger,
 ) *gate.Gate {
 	g := cfg.Gateway
 	return gate.New(gate.Config{
@@ -205,14 +204,10 @@
 			Ratio: g.RetryRatio, Slack: g.RetrySlack, Window: g.RetryWindow, StartedAt: now(), FirstStart: g.FirstStart,
 		}),
 		Log: logs.ForComponent(log, "gate"), MaxBodyBytes: cfg.MaxBodyBytes,
-		MaxBufferedBytes: maxBufferedBytes(cfg),
+		Bodies: rooms.requests,
 	})
 }
 
-func maxBufferedBytes(cfg config.Config) int64 {
-	return int64(maxBufferedShare * float64(cfg.Gateway.MemoryMB<<20))
-}
-
 // reportToLeader sends a report to the leader. A leader of an earlier build does not know the path; repeating the report
 // would be in vain.
 func reportToLeader[Q any](ctx context.Context, l *peer.LeaderClient, path string, report Q) error {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -27,6 +28,7 @@
 	"baobabreach/internal/metric"
 	"baobabreach/internal/model"
 	"baobabreach/internal/retry"
+	"baobabreach/internal/room"
 	"baobabreach/internal/route"
 	"baobabreach/internal/state"
 	"baobabreach/pkg/proto"
@@ -34,12 +36,13 @@
 
 // testServer is an entry server with fake upstreams that are connected by in-memory pipes.
 type testServer struct {
-	view   *route.View
-	server http.Handler
-	client *http.Client
-	policy *retry.Policy
-	drain  *drain.Drain
-	clock  func() time.Duration
+	view     *route.View
+	server   http.Handler
+	client   *http.Client
+	policy   *retry.Policy
+	drain    *drain.Drain
+	clock    func() time.Duration
+	requests *room.Room
 	// sends counts the requests that reached an upstream, and proposals counts the commands passed to Propose.
 	sends, proposals atomic.Int64
 }
@@ -47,7 +50,10 @@
 // newTestServer returns a server whose upstreams call reply with the number of the request and the raw connection. If
 // overLimit is set, every request is refused as over its limit.
 func newTestServer(t *testing.T, overLimit bool, reply func(n int64, r *http.Request, c net.Conn)) *testServer {
-	ts := &testServer{view: route.NewView(), policy: retry.NewPolicy(), drain: drain.New(drain.Config{Timeout: time.Second})}
+	ts := &testServer{
+		view: route.NewView(), policy: retry.NewPolicy(), drain: drain.New(drain.Config{Timeout: time.Second}),
+		requests: room.New(1000),
+	}
 	t.Cleanup(func() { ts.client.CloseIdleConnections() })
 	start := time.Now()
 	clock := func() time.Duration { return time.Since(start) }
@@ -62,7 +68,7 @@
 	s := entry.New(entry.Config{
 		Host: "a1", View: ts.view, Clock: clock, Metrics: metric.New(), Log: slog.New(slog.DiscardHandler), Retry: ts.policy,
 		Drain:        ts.drain,
-		MaxBodyBytes: 100, MaxResponseBytes: 1000, MaxHeaderBytes: 2000,
+		MaxBodyBytes: 100, MaxResponseBytes: 1000, MaxHeaderBytes: 2000, Requests: ts.requests,
 		Client: ts.client,
 		Propose: func(_ context.Context, c state.Command) (state.Result, error) {
 			ts.proposals.Add(1)
@@ -324,3 +330,51 @@
 		is.Equal(w.Header().Get(proto.HeaderOutcome), string(proto.OutcomeUnknown))
 	})
 }
+
+// Guards against bodies that arrive at the same time and together exceed the memory of the host, and against room that is
+// not given back.
+func TestBodiesThatArriveTogetherAreBounded(t *testing.T) {
+	is := is.New(t)
+	ts := newTestServer(t, false, func(_ int64, r *http.Request, c net.Conn) {
+		respond(c, http.StatusOK, requestID(r), "ok", proto.HeaderOutcome+": done\r\n")
+	})
+	const requests = 30
+	release, refused := make(chan struct{}), make(chan *httptest.ResponseRecorder, requests)
+	var wg sync.WaitGroup
+	for range requests {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			body := io.MultiReader(strings.NewReader(strings.Repeat("b", 50)), blockedReader{release}, strings.NewReader("b"))
+			r := httptest.NewRequest(http.MethodPut, "/s/free/x", body)
+			r.ContentLength = 51
+			w := httptest.NewRecorder()
+			ts.server.ServeHTTP(w, r)
+			if w.Code != http.StatusOK {
+				refused <- w
+			}
+		}()
+	}
+	for range requests - 1000/51 {
+		select {
+		case w := <-refused:
+			is.Equal(w.Code, http.StatusServiceUnavailable)
+			is.Equal(w.Header().Get(proto.HeaderOutcome), string(proto.OutcomeNotRun))
+			is.Equal(w.Header().Get("Retry-After"), "1")
+		case <-time.After(10 * time.Second):
+			t.Fatal("bodies beyond the limit are not refused")
+		}
+	}
+	is.True(ts.requests.Taken() <= 1000)
+	close(release)
+	wg.Wait()
+	is.Equal(ts.requests.Taken(), int64(0))
+}
+
+// blockedReader has no bytes and ends once release is closed.
+type blockedReader struct{ release chan struct{} }
+
+func (b blockedReader) Read([]byte) (int, error) {
+	<-b.release
+	return 0, io.EOF
+}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -13,6 +13,7 @@
 
 	"baobabreach/internal/claim"
 	"baobabreach/internal/model"
+	"baobabreach/internal/room"
 	"baobabreach/pkg/proto"
 
 	"github.com/go-faster/errors"
@@ -24,6 +25,9 @@
 	maxTenantBytes = 64
 	maxDeadline    = 24 * time.Hour
 	defaultTenant  = "none"
+	// bodyRetryAfterMs is the Retry-After time of a request whose body found no room. A large body is held for about a
+	// second.
+	bodyRetryAfterMs = 1000
 )
 
 // Request is a validated caller request.
@@ -69,7 +73,9 @@
 	if err := req.parseHeaders(r.Header); err != nil {
 		return req, err
 	}
-	body, readErr := io.ReadAll(http.MaxBytesReader(w, r.Body, s.cfg.MaxBodyBytes))
+	buffer := s.cfg.Requests.NewBuffer(req.Tenant)
+	room.Keep(r.Context(), buffer)
+	body, readErr := buffer.ReadRequest(http.MaxBytesReader(w, r.Body, s.cfg.MaxBodyBytes), r.ContentLength, s.cfg.MaxBodyBytes)
 	if readErr != nil {
 		return req, bodyError(readErr, s.cfg.MaxBodyBytes)
 	}
@@ -142,6 +148,10 @@
 	if errors.As(err, &tooLarge) {
 		return proto.NotRun(proto.CodeTooLarge, http.StatusRequestEntityTooLarge, "body is larger than %d bytes", limit)
 	}
+	if errors.Is(err, room.ErrFull) {
+		return proto.NotRun(proto.CodeOverloaded, http.StatusServiceUnavailable, "body can't be read: %v", err).
+			WithRetryAfterMs(bodyRetryAfterMs)
+	}
 	return proto.NotRun(proto.CodeBadRequest, http.StatusBadRequest, "body can't be read: %v", err)
 }
 
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -18,6 +18,7 @@
 	"baobabreach/internal/model"
 	"baobabreach/internal/peer"
 	"baobabreach/internal/retry"
+	"baobabreach/internal/room"
 	"baobabreach/internal/route"
 	"baobabreach/internal/state"
 	"baobabreach/internal/wire"
@@ -57,6 +58,9 @@
 	Log              *slog.Logger
 	MaxBodyBytes     int64
 	MaxResponseBytes int64
+	// Requests is the memory for all request bodies that are being read or held, and Responses that for responses. Nil means
+	// no limit.
+	Requests, Responses *room.Room
 }
 
 // AcquireSlotFunc acquires a slot for a request, waiting for one if none is free. The returned function releases the slot
@@ -93,15 +97,21 @@
 	if cfg.Guard == nil {
 		cfg.Guard = NewGuard(GuardConfig{Clock: cfg.Clock, Log: cfg.Log})
 	}
+	cfg.Requests = cfg.Requests.OrUnlimited()
 	return &Server{
-		cfg:    cfg,
-		client: wire.New(wire.Config{Host: cfg.Host, HTTP: cfg.Client, MaxResponseBytes: cfg.MaxResponseBytes}),
+		cfg: cfg,
+		client: wire.New(wire.Config{
+			Host: cfg.Host, HTTP: cfg.Client, MaxResponseBytes: cfg.MaxResponseBytes, Responses: cfg.Responses,
+		}),
 	}
 }
 
 // ServeHTTP validates a caller request, checks its limit, runs it within its deadline and records its outcome.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	start := s.cfg.Clock()
+	ctx, scope := room.NewScope(r.Context())
+	defer scope.End()
+	r = r.WithContext(ctx)
 	req, perr := s.parse(w, r)
 	if perr != nil {
 		s.recordDecision(&req, nil, perr)
--- a/internal/gate/body.go
+++ b/internal/gate/body.go
@@ -24,14 +24,8 @@
 	if r.ContentLength > maxBytes {
 		return response{Response: pipe.Response{Status: http.StatusRequestEntityTooLarge}, code: proto.CodeTooLarge}, false
 	}
-	c.buffer = c.gate.bodies.NewBuffer("")
-	var body []byte
-	var err error
-	if r.ContentLength >= 0 {
-		body, err = c.buffer.Reserve(r.Body, r.ContentLength)
-	} else {
-		body, err = c.buffer.Read(r.Body, maxBytes)
-	}
+	c.buffer = c.gate.cfg.Bodies.NewBuffer("")
+	body, err := c.buffer.ReadRequest(r.Body, r.ContentLength, maxBytes)
 	switch {
 	case errors.Is(err, room.ErrFull):
 		c.retryAfter = bodyRetryAfter
--- a/internal/gate/body_test.go
+++ b/internal/gate/body_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"baobabreach/internal/gate"
+	"baobabreach/internal/room"
 
 	"github.com/matryer/is"
 )
@@ -67,7 +68,7 @@
 	}{{name: "known length", known: true, accepted: 1}, {name: "unknown length", accepted: 3}} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			f := newFixtureWith(t, func(cfg *gate.Config) { cfg.MaxBufferedBytes = limit })
+			f := newFixtureWith(t, func(cfg *gate.Config) { cfg.Bodies = room.New(limit) })
 			f.setTable(1, true, newUpstream("u1", newFakeUpstream(t, respondOK)))
 			release := make(chan struct{})
 			statuses, refused := make(chan int, uploads), make(chan string, uploads)
@@ -110,7 +111,7 @@
 // that are changed on their way.
 func TestLargeBodyIsServedAlone(t *testing.T) {
 	is := is.New(t)
-	f := newFixtureWith(t, func(cfg *gate.Config) { cfg.MaxBufferedBytes = 200 << 10 })
+	f := newFixtureWith(t, func(cfg *gate.Config) { cfg.Bodies = room.New(200 << 10) })
 	sent := bytes.Repeat([]byte("auburn bob "), 70<<10)
 	received := make(chan []byte, 2)
 	u := newFakeUpstream(t, respondAfterBody(received))
--- a/internal/gate/fixture_test.go
+++ b/internal/gate/fixture_test.go
@@ -19,6 +19,7 @@
 	"baobabreach/internal/gate"
 	"baobabreach/internal/model"
 	"baobabreach/internal/pipe"
+	"baobabreach/internal/room"
 	"baobabreach/internal/route"
 )
 
@@ -166,7 +167,7 @@
 	})
 	cfg := gate.Config{
 		Names: names, View: f.view, Clock: f.clock, DataCentre: "a", Drain: f.drain,
-		MaxBodyBytes: 1 << 20, MaxBufferedBytes: 8 << 20, Pool: pool, Crashes: f.crashes, Log: log,
+		MaxBodyBytes: 1 << 20, Bodies: room.New(8 << 20), Pool: pool, Crashes: f.crashes, Log: log,
 		Picker: gate.NewPicker("a", func(int) int { return 0 }),
 		Budget: gate.NewBudget(gate.BudgetConfig{Ratio: 0.2, Slack: 40, Window: 10 * time.Second, FirstStart: true}),
 	}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -40,15 +40,13 @@
 	Metrics *metric.Registry
 	// MaxBodyBytes is the limit on a request body if the routing table sets none.
 	MaxBodyBytes int64
-	// MaxBufferedBytes limits the bytes of all request bodies that are held or being read. A larger body within
-	// MaxBodyBytes is held alone.
-	MaxBufferedBytes int64
+	// Bodies is the memory for all request bodies that are held or being read. Nil means no limit.
+	Bodies *room.Room
 }
 
 // Gate is an http.Handler that forwards caller requests to upstreams.
 type Gate struct {
 	cfg          Config
-	bodies       *room.Room
 	serviceTimes *serviceTimeEstimator
 	upstreams    upstreamCache
 	notices      *notices
@@ -59,9 +57,9 @@
 	if cfg.Crashes == nil {
 		cfg.Crashes = NewCrashGuard(CrashGuardConfig{Clock: cfg.Clock, Probe: cfg.Pool.Probe, View: cfg.View, Log: cfg.Log})
 	}
+	cfg.Bodies = cfg.Bodies.OrUnlimited()
 	return &Gate{
 		cfg: cfg, serviceTimes: newServiceTimeEstimator(), notices: newNotices(),
-		bodies: room.New(cfg.MaxBufferedBytes),
 	}
 }
 
@@ -146,7 +144,7 @@
 func (g *Gate) Stats() Stats {
 	return Stats{
 		PickerStats: g.cfg.Picker.Stats(g.cfg.Clock()), CrashStats: g.cfg.Crashes.Stats(), RetriesLeft: g.cfg.Budget.Remaining(),
-		BufferedBytes: g.bodies.Taken(),
+		BufferedBytes: g.cfg.Bodies.Taken(),
 	}
 }
 
--- a/internal/pipe/pipe.go
+++ b/internal/pipe/pipe.go
@@ -154,9 +154,7 @@
 
 // New returns an empty pool.
 func New(cfg Config) *Pool {
-	if cfg.Responses == nil {
-		cfg.Responses = room.Unlimited()
-	}
+	cfg.Responses = cfg.Responses.OrUnlimited()
 	return &Pool{cfg: cfg, idle: map[string][]*conn{}, maxIdle: cfg.MaxIdle}
 }
 
--- a/internal/room/buffer.go
+++ b/internal/room/buffer.go
@@ -117,8 +117,17 @@
 	}
 }
 
-// Reserve takes room for a body of the given length and reads it.
-func (b *Buffer) Reserve(r io.Reader, length int64) ([]byte, error) {
+// ReadRequest reads the body of a request. Room for an announced length is taken at once, so that a body without room is
+// refused before it is read. A length of -1 or more than maxBytes is read step by step, up to maxBytes+1 bytes.
+func (b *Buffer) ReadRequest(r io.Reader, length, maxBytes int64) ([]byte, error) {
+	if length < 0 || length > maxBytes {
+		return b.Read(r, maxBytes)
+	}
+	return b.reserve(r, length)
+}
+
+// reserve takes room for a body of the given length and reads it.
+func (b *Buffer) reserve(r io.Reader, length int64) ([]byte, error) {
 	if err := b.Resize(b.taken + length); err != nil {
 		return nil, err
 	}
--- a/internal/room/room.go
+++ b/internal/room/room.go
@@ -37,8 +37,13 @@
 	return &Room{limit: limit, bySender: map[string]int64{}, abortable: map[*Buffer]struct{}{}}
 }
 
-// Unlimited returns a room without a limit.
-func Unlimited() *Room { return New(math.MaxInt64) }
+// OrUnlimited returns the room, or one without a limit if it is nil.
+func (r *Room) OrUnlimited() *Room {
+	if r == nil {
+		return New(math.MaxInt64)
+	}
+	return r
+}
 
 // Taken returns the bytes of all messages.
 func (r *Room) Taken() int64 {
--- a/internal/room/room_test.go
+++ b/internal/room/room_test.go
@@ -72,7 +72,7 @@
 		b := r.NewBuffer(sender)
 		defer b.Release()
 		size := random.IntN(largest)
-		_, _ = b.Reserve(bytes.NewReader(make([]byte, size)), int64(size))
+		_, _ = b.ReadRequest(bytes.NewReader(make([]byte, size)), int64(size), int64(largest))
 		return
 	}
 	e := endless{make(chan struct{})}
@@ -119,7 +119,7 @@
 	is := is.New(t)
 	r := room.New(1 << 20)
 	alone := r.NewBuffer("a")
-	_, err := alone.Reserve(bytes.NewReader(make([]byte, 3<<20)), 3<<20)
+	_, err := alone.ReadRequest(bytes.NewReader(make([]byte, 3<<20)), 3<<20, 4<<20)
 	is.NoErr(err)
 	is.Equal(r.NewBuffer("a").Resize(100<<10), room.ErrFull)
 	for range 4 {
@@ -136,7 +136,9 @@
 		sent := bytes.Repeat([]byte("auburn"), size)[:size]
 		for _, read := range []func(b *room.Buffer) ([]byte, error){
 			func(b *room.Buffer) ([]byte, error) { return b.Read(bytes.NewReader(sent), 100_000) },
-			func(b *room.Buffer) ([]byte, error) { return b.Reserve(bytes.NewReader(sent), int64(size)) },
+			func(b *room.Buffer) ([]byte, error) {
+				return b.ReadRequest(bytes.NewReader(sent), int64(size), 100_000)
+			},
 		} {
 			b := r.NewBuffer("a")
 			got, err := read(b)
@@ -151,6 +153,6 @@
 	is.NoErr(err)
 	is.Equal(len(got), 5001)
 	b.Release()
-	_, err = r.NewBuffer("a").Reserve(bytes.NewReader(make([]byte, 5)), 6)
+	_, err = r.NewBuffer("a").ReadRequest(bytes.NewReader(make([]byte, 5)), 6, 6)
 	is.Equal(err, io.ErrUnexpectedEOF)
 }
--- a/internal/slots/relay.go
+++ b/internal/slots/relay.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +16,7 @@
 	"baobabreach/internal/entry"
 	"baobabreach/internal/model"
 	"baobabreach/internal/peer"
+	"baobabreach/internal/room"
 	"baobabreach/internal/route"
 	"baobabreach/pkg/proto"
 
@@ -27,6 +29,8 @@
 	frameLengthBytes  = 4
 	maxFrameHeadBytes = 2 << 20
 	maxRelayBodyBytes = 64 << 20
+	// minReplyBytes is the room that every response to a relayed request takes before the request is sent.
+	minReplyBytes = 8 << 10
 )
 
 // relayHead describes a relayed request.
@@ -131,6 +135,8 @@
 	head.Request.Body = nil
 	status, reply, wrote, err := s.sendFrame(ctx, address, head, slotReq.Request.Body)
 	switch {
+	case errors.Is(err, room.ErrFull) && !wrote:
+		return nil, proto.NotRun(proto.CodeOverloaded, http.StatusServiceUnavailable, "%v", err), true
 	case err != nil && !wrote && ctx.Err() == nil:
 		s.markSuspect(address)
 		return nil, nil, false
@@ -167,15 +173,23 @@
 func (s *Slots) sendFrame(ctx context.Context, address string, head relayHead, body []byte) (int, []byte, bool, error) {
 	var wrote atomic.Bool
 	trace := &httptrace.ClientTrace{WroteHeaderField: func(string, []string) { wrote.Store(true) }}
-	frame, err := encodeFrame(head, body)
+	frameHead, err := encodeFrameHead(head)
 	if err != nil {
 		return 0, nil, false, err
 	}
+	sendCtx, cancel := context.WithCancelCause(httptrace.WithClientTrace(ctx, trace))
+	defer cancel(nil)
+	buffer := s.responses.NewAbortable(address, func() { cancel(room.ErrFull) })
+	defer room.Keep(ctx, buffer)
+	if err := buffer.Resize(minReplyBytes); err != nil {
+		return 0, nil, false, errors.Wrap(err, "take room for the answer")
+	}
 	req, err := http.NewRequestWithContext(
-		httptrace.WithClientTrace(ctx, trace), http.MethodPost, "http://"+address+pathRelay, bytes.NewReader(frame))
+		sendCtx, http.MethodPost, "http://"+address+pathRelay, io.MultiReader(bytes.NewReader(frameHead), bytes.NewReader(body)))
 	if err != nil {
 		return 0, nil, false, errors.Wrap(err, "make request")
 	}
+	req.ContentLength = int64(len(frameHead) + len(body))
 	// Without GetBody, the transport can't retry and so never sends the frame twice.
 	req.GetBody = nil
 	if s.token != "" {
@@ -186,21 +200,25 @@
 		return 0, nil, wrote.Load(), errors.Wrap(err, "send frame")
 	}
 	defer func() { _ = resp.Body.Close() }()
-	reply, err := io.ReadAll(io.LimitReader(resp.Body, s.maxResponseBytes+maxFrameHeadBytes))
+	reply, err := buffer.Read(resp.Body, s.maxResponseBytes+maxFrameHeadBytes)
+	if err == nil {
+		err = buffer.Complete()
+	}
 	if err != nil {
 		return 0, nil, true, errors.Wrap(err, "read answer")
 	}
 	return resp.StatusCode, reply, true, nil
 }
 
-func encodeFrame(head any, body []byte) ([]byte, error) {
+// encodeFrameHead returns a frame without its body.
+func encodeFrameHead(head any) ([]byte, error) {
 	h, err := json.Marshal(head)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode frame")
 	}
-	out := make([]byte, frameLengthBytes, frameLengthBytes+len(h)+len(body))
+	out := make([]byte, frameLengthBytes, frameLengthBytes+len(h))
 	binary.BigEndian.PutUint32(out, uint32(len(h)))
-	return append(append(out, h...), body...), nil
+	return append(out, h...), nil
 }
 
 // decodeFrame decodes the head of a frame into head and returns the body.
@@ -221,7 +239,16 @@
 
 // serveRelay forwards a request that another entry host has relayed.
 func (s *Slots) serveRelay(w http.ResponseWriter, r *http.Request) {
-	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRelayBodyBytes+maxFrameHeadBytes))
+	ctx, scope := room.NewScope(r.Context())
+	defer scope.End()
+	buffer := s.requests.NewBuffer(r.RemoteAddr)
+	room.Keep(ctx, buffer)
+	const maxBytes = maxRelayBodyBytes + maxFrameHeadBytes
+	b, err := buffer.ReadRequest(http.MaxBytesReader(w, r.Body, maxBytes), r.ContentLength, maxBytes)
+	if errors.Is(err, room.ErrFull) {
+		peer.WriteError(w, proto.NotRun(proto.CodeOverloaded, http.StatusServiceUnavailable, "frame can't be read: %v", err))
+		return
+	}
 	if err != nil {
 		peer.WriteError(w, proto.NotRun(proto.CodeBadRequest, http.StatusBadRequest, "frame can't be read: %v", err))
 		return
@@ -233,7 +260,7 @@
 		return
 	}
 	head.Request.Body = body
-	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(head.LeftUs)*time.Microsecond)
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(head.LeftUs)*time.Microsecond)
 	defer cancel()
 	resp, perr := s.forwardRelayed(ctx, head)
 	if perr != nil {
@@ -242,12 +269,14 @@
 	}
 	out := *resp
 	out.Body, out.RequestID = nil, head.Request.ID
-	frame, err := encodeFrame(relayReply{Answer: out}, resp.Body)
+	frameHead, err := encodeFrameHead(relayReply{Answer: out})
 	if err != nil {
 		peer.WriteError(w, proto.Unknown(proto.CodeInternal, "encode answer: %v", err))
 		return
 	}
-	_, _ = w.Write(frame)
+	w.Header().Set("Content-Length", strconv.Itoa(len(frameHead)+len(resp.Body)))
+	_, _ = w.Write(frameHead)
+	_, _ = w.Write(resp.Body)
 }
 
 // forwardRelayed checks the route against the table and lease of this host, as those of the entry host may be older.
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -21,6 +21,7 @@
 	"baobabreach/internal/entry"
 	"baobabreach/internal/model"
 	"baobabreach/internal/peer"
+	"baobabreach/internal/room"
 	"baobabreach/internal/route"
 	"baobabreach/pkg/proto"
 
@@ -130,8 +131,10 @@
 	// server forwards relayed requests. It is set before the first request.
 	server           *entry.Server
 	maxResponseBytes int64
-	idPrefix         string
-	sequence         atomic.Uint64
+	// requests and responses are the memory for relayed requests and their responses.
+	requests, responses *room.Room
+	idPrefix            string
+	sequence            atomic.Uint64
 
 	mu sync.Mutex
 	// suspects holds the time until which an unreachable dispatcher is skipped, by address.
@@ -165,6 +168,9 @@
 	Token  string
 	// MaxResponseBytes limits the response to a relayed request.
 	MaxResponseBytes int64
+	// Requests is the memory for requests that other hosts relay, and Responses that for the responses to relayed requests.
+	// Nil means no limit.
+	Requests, Responses *room.Room
 }
 
 // New returns the Slots of one host. SetServer must be called before the first request.
@@ -179,6 +185,7 @@
 	return &Slots{
 		host: cfg.Host, dataCentre: cfg.DataCentre, policy: cfg.Policy, view: cfg.View, clock: cfg.Clock,
 		local: newDispatcher(cfg.View, cfg.Clock, queue), token: cfg.Token, maxResponseBytes: cfg.MaxResponseBytes,
+		requests: cfg.Requests.OrUnlimited(), responses: cfg.Responses.OrUnlimited(),
 		client: cfg.Client, idPrefix: hex.EncodeToString(b[:]), suspects: map[string]time.Duration{},
 		active: map[string]activeRequest{}, pendingReleases: map[string][]releasedCredit{}, requestsPerPool: map[poolID]int{},
 		knownDaemons: map[string]knownDaemon{},
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -7,7 +7,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -18,6 +17,7 @@
 
 	"baobabreach/internal/model"
 	"baobabreach/internal/pipe"
+	"baobabreach/internal/room"
 	"baobabreach/pkg/proto"
 
 	"github.com/go-faster/errors"
@@ -37,6 +37,8 @@
 	HTTP *http.Client
 	// MaxResponseBytes limits the size of a response body; it must be positive.
 	MaxResponseBytes int64
+	// Responses is the memory for all responses that are being read or held. Nil means no limit.
+	Responses *room.Room
 }
 
 // Client forwards requests to upstreams. It is safe for concurrent use.
@@ -49,6 +51,7 @@
 
 // New returns a client that sends its requests with cfg.HTTP.
 func New(cfg Config) *Client {
+	cfg.Responses = cfg.Responses.OrUnlimited()
 	c := &Client{cfg: cfg, unpooled: cfg.HTTP, refused: recentIDs{known: map[string]bool{}}}
 	if t, ok := cfg.HTTP.Transport.(*http.Transport); ok {
 		t = t.Clone()
@@ -114,9 +117,31 @@
 	Body   []byte
 }
 
-// Send forwards the request once and reads the complete response. The outcome of an error is not_run only if no byte
-// of the request reached the upstream, or if the upstream reported that outcome.
+// minResponseBytes is the room that every response takes before the request is sent, for its head.
+const minResponseBytes = 8 << 10
+
+// Send forwards the request once and reads the complete response, whose room is kept in the scope of ctx. The outcome of an
+// error is not_run only if no byte of the request reached the upstream, or if the upstream reported that outcome.
 func (c *Client) Send(ctx context.Context, u model.Upstream, r Request) (*Response, *proto.Error) {
+	sendCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	buffer := c.cfg.Responses.NewAbortable(u.Address, func() { cancel(room.ErrFull) })
+	if err := buffer.Resize(minResponseBytes); err != nil {
+		buffer.Release()
+		return nil, proto.NotRun(proto.CodeOverloaded, http.StatusServiceUnavailable, "no room for the answer: %v", err)
+	}
+	resp, perr := c.sendWithRoom(sendCtx, u, r, buffer)
+	if perr != nil {
+		buffer.Release()
+		return nil, perr
+	}
+	room.Keep(ctx, buffer)
+	return resp, nil
+}
+
+func (c *Client) sendWithRoom(
+	ctx context.Context, u model.Upstream, r Request, buffer *room.Buffer,
+) (*Response, *proto.Error) {
 	var headerWritten atomic.Bool
 	var conn atomic.Pointer[httptrace.GotConnInfo]
 	trace := &httptrace.ClientTrace{
@@ -137,21 +162,42 @@
 		if !headerWritten.Load() {
 			return nil, proto.NotRun(proto.CodeUpstreamFailed, http.StatusBadGateway, "upstream %s can't be reached: %v", u.Name, err)
 		}
+		if errors.Is(context.Cause(ctx), room.ErrFull) {
+			return nil, errNoRoom(u)
+		}
 		return nil, proto.Unknown(proto.CodeConnectionLost, "the connection to upstream %s broke: %v", u.Name, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, c.cfg.MaxResponseBytes+1))
+	body, err := buffer.Read(resp.Body, c.cfg.MaxResponseBytes)
+	if err == nil {
+		err = buffer.Complete()
+	}
+	if err != nil && (errors.Is(err, room.ErrFull) || errors.Is(context.Cause(ctx), room.ErrFull)) {
+		// Closing the body alone would read more of it.
+		closeConn(conn.Load())
+		return nil, errNoRoom(u)
+	}
 	if err != nil {
 		return nil, proto.Unknown(proto.CodeTruncatedAnswer, "the answer of upstream %s is truncated: %v", u.Name, err)
 	}
 	result, protoErr := c.classify(u, r, resp, body)
-	if info := conn.Load(); info != nil && protoErr != nil && protoErr.Outcome == proto.OutcomeUnknown {
+	if protoErr != nil && protoErr.Outcome == proto.OutcomeUnknown {
 		// After an invalid response the next one on the same connection can't be trusted.
-		_ = info.Conn.Close()
+		closeConn(conn.Load())
 	}
 	return result, protoErr
 }
 
+func errNoRoom(u model.Upstream) *proto.Error {
+	return proto.Unknown(proto.CodeTooLarge, "no room for the whole answer of upstream %s", u.Name)
+}
+
+func closeConn(info *httptrace.GotConnInfo) {
+	if info != nil {
+		_ = info.Conn.Close()
+	}
+}
+
 // classify determines the outcome from the complete response of an upstream.
 func (c *Client) classify(u model.Upstream, r Request, resp *http.Response, body []byte) (*Response, *proto.Error) {
 	if int64(len(body)) > c.cfg.MaxResponseBytes {
