Bound the messages that replicas read at the same time

One faulty upstream that sends parts of 1,000 reports at once made each replica of a small fleet take 389 MB of 184: a report may have 256 KB, a change 16 MB, and nothing bounded their sum.

The registry and control addresses of a platform's daemon now read bodies into a room of 5% of the memory before they are decoded (room.Handler). If it is full, the largest message of the sender that has taken the most, told by its IP address, is given up with 503, so that reports and changes of others arrive. Bodies with a known small length take no more than that.

--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -24,11 +24,13 @@
 var Policies = []Policy{"local", "shared", "credit", "relay"}
 
 var knownKeys = map[string][]string{
-	"daemon":    {"host", "data_centre", "data_dir"},
-	"listen":    {"caller", "control", "operator", "advertise"},
-	"cluster":   {"replicas", "max_moves"},
-	"log":       {"level", "format"},
-	"requests":  {"max_header_bytes", "max_body_bytes", "max_answer_bytes", "max_answer_header_bytes", "max_buffered_bytes", "body_timeout"},
+	"daemon":  {"host", "data_centre", "data_dir"},
+	"listen":  {"caller", "control", "operator", "advertise"},
+	"cluster": {"replicas", "max_moves"},
+	"log":     {"level", "format"},
+	"requests": {
+		"max_header_bytes", "max_body_bytes", "max_answer_bytes", "max_answer_header_bytes", "max_buffered_bytes", "body_timeout",
+	},
 	"admission": {"policy"},
 	"stop":      {"balancer_delay", "timeout", "grace"},
 	"access":    {"operator_token_file", "control_token_file"},
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -25,6 +25,7 @@
 	"baobabreach/internal/peer"
 	"baobabreach/internal/pipe"
 	"baobabreach/internal/poison"
+	"baobabreach/internal/room"
 	"baobabreach/internal/route"
 	"baobabreach/pkg/proto"
 
@@ -61,7 +62,10 @@
 	// maxIdlePerUpstream limits the idle connections of a host to one upstream.
 	maxIdlePerUpstream = 6
 	// maxBufferedShare is the fraction of the memory that buffered request bodies may take, and that responses may.
-	maxBufferedShare         = 0.15
+	maxBufferedShare = 0.15
+	// maxMessagesShare is the fraction of the memory that messages of upstreams, operators and other daemons may take before
+	// they are decoded, which takes two to three times as much.
+	maxMessagesShare         = 0.05
 	gatewayMaxResponseBytes  = 16 << 20
 	sweepInterval            = time.Second
 	directoryRefreshInterval = time.Second
@@ -329,12 +333,14 @@
 	operator := mux.NewRouter()
 	operator.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { p.Metrics.WriteText(w) })
 	c.operator.server().Mount(operator)
-	addServer("control", p.Config.Control, gatewayRouter(c, p.Registry))
+	messages := room.New(int64(maxMessagesShare * float64(p.Config.Gateway.MemoryMB<<20)))
+	addServer("control", p.Config.Control, room.Handler(messages, peer.MaxRaftBytes, gatewayRouter(c, p.Registry)))
 	if p.Config.IsReplica() {
 		addServer("raft", nextPort(p.Config.Control), raftRouter(c))
 	}
 	addServer("operator", p.Config.Operator, requireToken(p.Tokens.operator, operator))
-	addServer("registry", p.Config.Gateway.Registry, p.Adapter.Registry(p.Registry))
+	addServer("registry", p.Config.Gateway.Registry,
+		room.Handler(messages, peer.MaxRaftBytes, p.Adapter.Registry(p.Registry)))
 	callers := newCallerServer(p.Config, addServer("caller", p.Config.Caller, p.Gate), p.Drain, p.Clock, log)
 	ready := addServer("ready", p.Config.Gateway.Ready, p.Adapter.Ready(p.Gate.Ready))
 	lc.Append(fx.Hook{
--- a/internal/pipe/send.go
+++ b/internal/pipe/send.go
@@ -176,7 +176,7 @@
 		p.updateStats(func(s *Stats) { s.MismatchedResponses++ })
 		return nil, false, unknownFailure("answer to another request "+strconv.Quote(id), nil)
 	}
-	body, err := c.limit.buffer.Read(resp.Body, p.cfg.MaxResponseBytes)
+	body, err := c.limit.buffer.Read(resp.Body, resp.ContentLength, p.cfg.MaxResponseBytes)
 	if err == nil {
 		err = c.limit.buffer.Complete()
 	}
--- a/internal/room/buffer.go
+++ b/internal/room/buffer.go
@@ -121,7 +121,7 @@
 // refused before it is read. A length of -1 or more than maxBytes is read step by step, up to maxBytes+1 bytes.
 func (b *Buffer) ReadRequest(r io.Reader, length, maxBytes int64) ([]byte, error) {
 	if length < 0 || length > maxBytes {
-		return b.Read(r, maxBytes)
+		return b.Read(r, length, maxBytes)
 	}
 	return b.reserve(r, length)
 }
@@ -139,10 +139,15 @@
 	return body[:n], err
 }
 
-// Read reads a body and takes room as its bytes arrive, whatever length was announced. At most maxBytes+1 bytes are read.
-func (b *Buffer) Read(r io.Reader, maxBytes int64) ([]byte, error) {
+// Read reads a body and takes room as its bytes arrive, whatever length was announced; -1 means none. At most maxBytes+1 bytes
+// are read.
+func (b *Buffer) Read(r io.Reader, length, maxBytes int64) ([]byte, error) {
 	others := b.taken
 	size := min(firstBytes, maxBytes+1)
+	if length >= 0 {
+		// The end of the body is read too.
+		size = min(size, length+1)
+	}
 	if err := b.Resize(others + size); err != nil {
 		return nil, err
 	}
--- a/internal/room/room_test.go
+++ b/internal/room/room_test.go
@@ -78,7 +78,7 @@
 	e := endless{make(chan struct{})}
 	b := r.NewAbortable(sender, func() { close(e.aborted) })
 	defer b.Release()
-	_, _ = b.Read(e, int64(largest))
+	_, _ = b.Read(e, -1, int64(largest))
 	_ = b.Complete()
 }
 
@@ -135,7 +135,8 @@
 	for _, size := range []int{0, 1, 4095, 4096, 4097, 100_000} {
 		sent := bytes.Repeat([]byte("auburn"), size)[:size]
 		for _, read := range []func(b *room.Buffer) ([]byte, error){
-			func(b *room.Buffer) ([]byte, error) { return b.Read(bytes.NewReader(sent), 100_000) },
+			func(b *room.Buffer) ([]byte, error) { return b.Read(bytes.NewReader(sent), -1, 100_000) },
+			func(b *room.Buffer) ([]byte, error) { return b.Read(bytes.NewReader(sent), int64(size), 100_000) },
 			func(b *room.Buffer) ([]byte, error) {
 				return b.ReadRequest(bytes.NewReader(sent), int64(size), 100_000)
 			},
@@ -149,7 +150,7 @@
 		}
 	}
 	b := r.NewBuffer("a")
-	got, err := b.Read(endless{}, 5000)
+	got, err := b.Read(endless{}, -1, 5000)
 	is.NoErr(err)
 	is.Equal(len(got), 5001)
 	b.Release()
--- a/internal/slots/relay.go
+++ b/internal/slots/relay.go
@@ -200,7 +200,7 @@
 		return 0, nil, wrote.Load(), errors.Wrap(err, "send frame")
 	}
 	defer func() { _ = resp.Body.Close() }()
-	reply, err := buffer.Read(resp.Body, s.maxResponseBytes+maxFrameHeadBytes)
+	reply, err := buffer.Read(resp.Body, resp.ContentLength, s.maxResponseBytes+maxFrameHeadBytes)
 	if err == nil {
 		err = buffer.Complete()
 	}
--- a/internal/soak/flood.go
+++ b/internal/soak/flood.go
@@ -121,10 +121,62 @@
 		if f.responses.Load() < int64(floodCallers) {
 			r.checker.ReportViolation("%d endless responses only", f.responses.Load())
 		}
-		return r.checkMemory()
+		return r.checkMemory(r.fleet.EntryHosts())
 	})
 }
 
+// RunEndlessReports lets one faulty upstream send parts of many reports to each replica. It is a violation if a replica needs
+// more than its share of the memory or ends, or if requests are not served meanwhile.
+func RunEndlessReports(cfg Config) (*Run, []string, error) {
+	cfg.MemoryMB = floodMemoryMB
+	r := newRun(cfg, 1)
+	return r.run(func(ctx context.Context) error {
+		answeredBefore, failedBefore := r.checker.Counts()
+		ctx, cancel := context.WithTimeout(ctx, floodTime)
+		defer cancel()
+		for i, h := range r.fleet.Hosts[:replicaCount] {
+			for range floodReports {
+				go r.sendPartOfReport(ctx, h, i)
+			}
+		}
+		<-ctx.Done()
+		answered, failed := r.checker.Counts()
+		answered, failed = answered-answeredBefore, failed-failedBefore
+		r.recordEvent("%d requests answered, %d failed", answered, failed)
+		if float64(answered) < minServedShare*float64(answered+failed) {
+			r.checker.ReportViolation("%d of %d requests were served", answered, answered+failed)
+		}
+		return r.checkMemory(r.fleet.Hosts)
+	})
+}
+
+const (
+	// floodReports is the number of reports that the faulty upstream sends to each replica at the same time, and
+	// partOfReportBytes what it sends of each.
+	floodReports      = 1000
+	partOfReportBytes = 250 << 10
+)
+
+// sendPartOfReport sends a part of a report from an address of its own, and the same again when the replica closes the
+// connection, until ctx is done.
+func (r *Run) sendPartOfReport(ctx context.Context, h *Host, replica int) {
+	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, byte(r.cfg.LoopbackOctet), 2, byte(replica+1))}}
+	for ctx.Err() == nil {
+		c, err := d.DialContext(ctx, "tcp", fmt.Sprintf("%s:%d", h.daemonIP, portRegistry))
+		if err != nil {
+			time.Sleep(reportTimeout)
+			continue
+		}
+		stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+		_, _ = io.WriteString(c, "PUT /baobabreach/instances/i-faulty HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000\r\n\r\n{")
+		_, _ = io.CopyN(c, zeros{}, partOfReportBytes)
+		_, _ = c.Read(make([]byte, 1))
+		stop()
+		_ = c.Close()
+		time.Sleep(reportTimeout)
+	}
+}
+
 // sendFlooded sends requests that get endless responses until ctx is done, and keyed ones beside them, which it counts.
 func (r *Run) sendFlooded(ctx context.Context) (served, sent int64) {
 	var servedCount, sentCount atomic.Int64
@@ -160,9 +212,9 @@
 	return servedCount.Load(), sentCount.Load()
 }
 
-// checkMemory reports a violation for each entry host that ended or took more than its share of the memory.
-func (r *Run) checkMemory() error {
-	for _, h := range r.fleet.EntryHosts() {
+// checkMemory reports a violation for each host that ended or took more than its share of the memory.
+func (r *Run) checkMemory(hosts []*Host) error {
+	for _, h := range hosts {
 		peak, err := h.peakMemoryMB()
 		if err != nil {
 			r.checker.ReportViolation("%s has ended: %v", h.Name, err)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -118,6 +118,18 @@
 	checkRun(t, run, violations, err, cfg.Dir)
 }
 
+// Guards against an upstream that sends reports without end: replicas keep them until they run out of memory.
+func TestEndlessReportsLeaveMemory(t *testing.T) {
+	cfg := soak.Config{
+		DaemonPath: buildDaemon(t), Dir: t.TempDir(), LoopbackOctet: 2 + 2*((os.Getpid()+115)%120), EntryHosts: 2,
+	}
+	run, violations, err := soak.RunEndlessReports(cfg)
+	for _, e := range run.Events {
+		t.Log(e)
+	}
+	checkRun(t, run, violations, err, cfg.Dir)
+}
+
 // Guards against requests that are cut off where planned work overlaps: stops of several hosts, hangups, changes of the
 // configuration and drained upstreams. SOAK_SEED and SOAK_SEEDS select the schedules.
 func TestOverlappingWorkCutsNothingOff(t *testing.T) {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -168,7 +168,7 @@
 		return nil, proto.Unknown(proto.CodeConnectionLost, "the connection to upstream %s broke: %v", u.Name, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := buffer.Read(resp.Body, c.cfg.MaxResponseBytes)
+	body, err := buffer.Read(resp.Body, resp.ContentLength, c.cfg.MaxResponseBytes)
 	if err == nil {
 		err = buffer.Complete()
 	}
