--- a/internal/room/buffer.go
+++ b/internal/room/buffer.go
@@ -139,8 +139,8 @@
 	return body[:n], err
 }
 
-// Read reads a body and takes room as its bytes arrive, whatever length was announced; -1 means none. At most maxBytes+1 bytes
-// are read.
+// Read reads a body and takes room as its bytes arrive, whatever length was announced; -1 means none. At most maxBytes+1
+// bytes are read.
 func (b *Buffer) Read(r io.Reader, length, maxBytes int64) ([]byte, error) {
 	others := b.taken
 	size := min(firstBytes, maxBytes+1)
--- a/internal/soak/flood.go
+++ b/internal/soak/flood.go
@@ -125,8 +125,8 @@
 	})
 }
 
-// RunEndlessReports lets one faulty upstream send parts of many reports to each replica. It is a violation if a replica needs
-// more than its share of the memory or ends, or if requests are not served meanwhile.
+// RunEndlessReports lets one faulty upstream send parts of many reports to each replica. It is a violation if a replica
+// needs more than its share of the memory or ends, or if requests are not served meanwhile.
 func RunEndlessReports(cfg Config) (*Run, []string, error) {
 	cfg.MemoryMB = floodMemoryMB
 	r := newRun(cfg, 1)
