--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -115,7 +115,7 @@
 	if h, _, err := net.SplitHostPort(host); err == nil {
 		host = h
 	}
-	rt, ok := findRoute(t, host, r.URL.Path)
+	rt, ok := findRoute(t, host, forwardedPath(r))
 	if !ok && c.gate.cfg.View.Provisional() {
 		return c.refuse(proto.CodeNoLease, "the route is not in the table of a replica that may lack the last changes")
 	}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -69,6 +69,15 @@
 	return !g.cfg.Drain.Stopping() && len(t.Routes) > 0
 }
 
+// forwardedPath returns the path as the caller sent it and as upstreams get it. An escaped slash in it is no slash.
+func forwardedPath(r *http.Request) string {
+	if !strings.HasPrefix(r.RequestURI, "/") {
+		return r.URL.EscapedPath()
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	return path
+}
+
 // findRoute returns the route of the host with the longest prefix of the path, or false. The routes of a table are sorted
 // so that the longest prefix comes first.
 func findRoute(t *route.Table, host, path string) (model.Route, bool) {
