Limit the headers of callers as the configuration says

Evidence: TestHeaderLimitOfTheConfiguration failed before the change of the gate and passes with it. HeaderTimeout and IdleTimeout of the configuration are still not used.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -207,7 +207,7 @@
 		Budget: gate.NewBudget(gate.BudgetConfig{
 			Ratio: g.RetryRatio, Slack: g.RetrySlack, Window: g.RetryWindow, StartedAt: now(), FirstStart: g.FirstStart,
 		}),
-		Log: logs.ForComponent(log, "gate"), MaxBodyBytes: cfg.MaxBodyBytes,
+		Log: logs.ForComponent(log, "gate"), MaxHeaderBytes: cfg.MaxHeaderBytes, MaxBodyBytes: cfg.MaxBodyBytes,
 		Bodies: rooms.requests,
 	})
 }
@@ -310,6 +310,9 @@
 	return info, true
 }
 
+// callerListener is the name of the address for callers.
+const callerListener = "caller"
+
 // listener is an address of the daemon with its HTTP server.
 type listener struct {
 	name, address string
@@ -323,7 +326,12 @@
 	c := p.control()
 	var listeners []listener
 	addServer := func(name, address string, h http.Handler) *http.Server {
-		s := newServer(h, int(p.Config.MaxHeaderBytes), p.Config.BodyTimeout)
+		maxHeaderBytes := p.Config.MaxHeaderBytes
+		if name == callerListener {
+			// The gate checks the headers of callers by the limit of the configuration.
+			maxHeaderBytes *= hardHeaderLimitFactor
+		}
+		s := newServer(h, int(maxHeaderBytes), p.Config.BodyTimeout)
 		s.IdleTimeout = gatewayIdleTimeout
 		if address != "" {
 			listeners = append(listeners, listener{name: name, address: address, server: s})
@@ -341,7 +349,7 @@
 	addServer("operator", p.Config.Operator, requireToken(p.Tokens.operator, operator))
 	addServer("registry", p.Config.Gateway.Registry,
 		room.Handler(messages, peer.MaxRaftBytes, p.Adapter.Registry(p.Registry)))
-	callers := newCallerServer(p.Config, addServer("caller", p.Config.Caller, p.Gate), p.Drain, p.Clock, log)
+	callers := newCallerServer(p.Config, addServer(callerListener, p.Config.Caller, p.Gate), p.Drain, p.Clock, log)
 	ready := addServer("ready", p.Config.Gateway.Ready, p.Adapter.Ready(p.Gate.Ready))
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -52,7 +52,7 @@
 
 // parse validates the request. Its errors have the outcome not_run.
 func (s *Server) parse(w http.ResponseWriter, r *http.Request) (Request, *proto.Error) {
-	if n := headerBytes(r); s.cfg.MaxHeaderBytes > 0 && n > s.cfg.MaxHeaderBytes {
+	if n := room.HeaderBytes(r); s.cfg.MaxHeaderBytes > 0 && n > s.cfg.MaxHeaderBytes {
 		return Request{}, proto.NotRun(proto.CodeTooLarge, http.StatusRequestHeaderFieldsTooLarge,
 			"headers are larger than %d bytes", s.cfg.MaxHeaderBytes)
 	}
@@ -85,17 +85,6 @@
 	return req, nil
 }
 
-// headerBytes returns the total size of the request URI, header names and header values.
-func headerBytes(r *http.Request) int64 {
-	n := len(r.RequestURI)
-	for k, vs := range r.Header {
-		for _, v := range vs {
-			n += len(k) + len(v)
-		}
-	}
-	return int64(n)
-}
-
 func requestID(r *http.Request) (string, *proto.Error) {
 	id := r.Header.Get(proto.HeaderRequestID)
 	if id == "" {
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"math/rand/v2"
@@ -111,6 +112,12 @@
 		return c.refuse(proto.CodeNoLease, "no configuration yet")
 	}
 	c.tableVersion = t.Version
+	if limit := cmp.Or(t.Bounds.HeaderBytes, c.gate.cfg.MaxHeaderBytes); limit > 0 && room.HeaderBytes(r) > limit {
+		c.reason = "headers are larger than " + strconv.FormatInt(limit, 10) + " bytes"
+		return response{
+			Response: pipe.Response{Status: http.StatusRequestHeaderFieldsTooLarge}, code: proto.CodeTooLarge,
+		}
+	}
 	host := r.Host
 	if h, _, err := net.SplitHostPort(host); err == nil {
 		host = h
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -38,8 +38,9 @@
 	Log           *slog.Logger
 	// Metrics records the requests; it may be nil.
 	Metrics *metric.Registry
-	// MaxBodyBytes is the limit on a request body if the routing table sets none.
-	MaxBodyBytes int64
+	// MaxHeaderBytes and MaxBodyBytes are the limits on the headers and the body of a request if the routing table sets none.
+	// If MaxHeaderBytes is 0 too, headers are not limited here.
+	MaxHeaderBytes, MaxBodyBytes int64
 	// Bodies is the memory for all request bodies that are held or being read. Nil means no limit.
 	Bodies *room.Room
 }
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"baobabreach/internal/gate"
 	"baobabreach/internal/model"
 
 	"github.com/matryer/is"
@@ -269,3 +270,34 @@
 	is.Equal(f.do("GET", "/s/1", "").StatusCode, http.StatusOK)
 	is.Equal(owner.requestCount(), 2)
 }
+
+// Guards against a limit on headers in the configuration that has no effect: requests within it are refused, or requests
+// beyond it pass, also after it has changed.
+func TestHeaderLimitOfTheConfiguration(t *testing.T) {
+	is := is.New(t)
+	f := newFixtureWith(t, func(cfg *gate.Config) { cfg.MaxHeaderBytes = 10_000 })
+	u := newFakeUpstream(t, respondOK)
+	send := func(headerBytes int) int {
+		r := httptest.NewRequest(http.MethodGet, "/o/1", nil)
+		r.Host = "a.example"
+		r.Header.Set("X-Id", "id-1")
+		r.Header.Set("X-Long", strings.Repeat("h", headerBytes))
+		w := httptest.NewRecorder()
+		f.gate.ServeHTTP(w, r)
+		return w.Code
+	}
+	for i, limit := range []int64{0, 30_000, 20_000} {
+		f.setTable(uint64(i+1), true, newUpstream("u1", u))
+		table, _ := f.view.Table()
+		table.Bounds.HeaderBytes = limit
+		allowed := int(limit)
+		if limit == 0 {
+			allowed = 10_000
+		}
+		is.Equal(send(allowed-100), http.StatusOK)
+		is.Equal(send(allowed), http.StatusRequestHeaderFieldsTooLarge)
+		is.Equal(f.lastRequestEntry()["code"], "too_large")
+		is.Equal(f.lastRequestEntry()["outcome"], "not_run")
+	}
+	is.Equal(u.requestCount(), 3)
+}
