Record on the disk that the fleet starts for the first time

The identity of a new disk now keeps it, in the one write that creates the identity. A replaced disk has no such mark.

--- a/internal/daemon/bootstrap.go
+++ b/internal/daemon/bootstrap.go
@@ -25,7 +25,7 @@
 	Member raft.Member `json:"member"`
 	// Members is nil until the group has formed.
 	Members *raft.Members `json:"members,omitempty"`
-	// FirstStart is false if the disk is empty but the replica has run before, for example after the disk was replaced.
+	// FirstStart is false if the disk was not new when the fleet started for the first time, for example after it was replaced.
 	// Such a replica may join a group but never forms one.
 	FirstStart bool `json:"first_start"`
 }
@@ -35,11 +35,13 @@
 // whose host sorts first decides on the initial member list, and the others adopt it: two replicas that decide while a
 // disk is being replaced could pick different lists. A replica that finds a group without itself joins it as a learner.
 type bootstrapper struct {
-	self   raft.Member
-	cfg    config.Config
-	client *http.Client
-	token  string
-	log    *slog.Logger
+	self raft.Member
+	// firstStart is that of replicaInfo.
+	firstStart bool
+	cfg        config.Config
+	client     *http.Client
+	token      string
+	log        *slog.Logger
 }
 
 // bootstrap waits until the group has formed and returns its member list, or an error when ctx is done.
@@ -68,7 +70,7 @@
 func (bs bootstrapper) discover(ctx context.Context) (members raft.Members, usable, formed bool) {
 	members = raft.Members{Voters: []raft.Member{bs.self}}
 	isSeed := func(r config.Replica) bool { return r.Address == bs.self.Address }
-	allReady := bs.cfg.Gateway == nil || bs.cfg.Gateway.FirstStart && slices.ContainsFunc(bs.cfg.Replicas, isSeed)
+	allReady := bs.cfg.Gateway == nil || bs.firstStart && slices.ContainsFunc(bs.cfg.Replicas, isSeed)
 	for _, r := range bs.cfg.Replicas {
 		if r.Address == bs.self.Address {
 			continue
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -326,7 +326,7 @@
 	if !cfg.IsReplica() {
 		return nil
 	}
-	st, loaded, err := store.Open(cfg.DataDir)
+	st, loaded, err := store.Open(cfg.DataDir, cfg.Gateway != nil && cfg.Gateway.FirstStart)
 	if err != nil {
 		return errors.Wrap(err, "open data directory")
 	}
@@ -338,7 +338,9 @@
 	raftAddress := func(control string) string { return control }
 	if g := cfg.Gateway; g != nil {
 		// A hosting platform replaces hosts under arbitrary names, so a replica is identified by its advertised address.
-		self.Host, self.Address, voters, firstStart = cfg.Advertise, cfg.Advertise, g.Voters(), g.FirstStart
+		// A replica that is restarted before the group has formed is no longer told of the first start by its settings.
+		firstStart = g.FirstStart || loaded.Identity.FirstStart
+		self.Host, self.Address, voters = cfg.Advertise, cfg.Advertise, g.Voters()
 		self.DataCentre = cfg.DataCentre
 		cfg.Replicas = seedReplicas(cfg)
 		raftAddress = nextPort
@@ -350,7 +352,9 @@
 	done := make(chan struct{})
 	run := func() error {
 		defer close(done)
-		bs := bootstrapper{self: self, cfg: cfg, client: c.control, token: t.control, log: log}
+		bs := bootstrapper{
+			self: self, firstStart: firstStart, cfg: cfg, client: c.control, token: t.control, log: log,
+		}
 		members, err := loadOrBootstrapMembers(ctx, bs, st, loaded)
 		if err != nil {
 			return err
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -26,7 +26,7 @@
 func startNode(tb testing.TB, dir string, others ...raft.Member) (*node.Node, func()) {
 	tb.Helper()
 	is := is.New(tb)
-	s, l, err := store.Open(dir)
+	s, l, err := store.Open(dir, false)
 	is.NoErr(err)
 	start := time.Now()
 	self := raft.Member{ID: l.Identity.ID, Host: "a"}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -6,6 +6,8 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -30,6 +32,8 @@
 	diskWiped bool
 	// plannedOnly is true if hosts are only stopped and started as planned, so that no request may be cut off.
 	plannedOnly bool
+	// afterStart is called right after the daemons have been started, unless it is nil.
+	afterStart func() error
 	// Events lists the injected faults, to be printed if the run fails.
 	Events    []string
 	startedAt time.Time
@@ -75,6 +79,24 @@
 	})
 }
 
+// RunKilledFirstStart kills a replica during the first start of the fleet, once its disk has an identity, and starts it again.
+// An error means that the fleet does not serve requests then.
+func RunKilledFirstStart(cfg Config, replica int) (*Run, []string, error) {
+	r := newRun(cfg, 1)
+	r.afterStart = func() error {
+		h := r.fleet.Hosts[replica]
+		for deadline := time.Now().Add(serveTimeout); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+			if _, err := os.Stat(filepath.Join(cfg.Dir, h.Name, "identity")); err == nil {
+				break
+			}
+		}
+		r.recordEvent("kill %s", h.Name)
+		h.Kill()
+		return r.fleet.Start(h)
+	}
+	return r.run(func(context.Context) error { return nil })
+}
+
 func newRun(cfg Config, seed uint64) *Run {
 	return &Run{cfg: cfg, random: rand.New(rand.NewPCG(seed, 1)), checker: NewChecker(), startedAt: time.Now()}
 }
@@ -125,6 +147,11 @@
 			return err
 		}
 	}
+	if r.afterStart != nil {
+		if err := r.afterStart(); err != nil {
+			return err
+		}
+	}
 	for i := range keyedUpstreams + orderUpstreams {
 		if err := r.startUpstream(i < keyedUpstreams); err != nil {
 			return err
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -130,6 +130,19 @@
 	checkRun(t, run, violations, err, cfg.Dir)
 }
 
+// Guards against a fleet that never forms a group of replicas because one of them was killed during its first start: its
+// settings no longer say that the fleet starts for the first time.
+func TestFirstStartSurvivesAKilledReplica(t *testing.T) {
+	daemonPath := buildDaemon(t)
+	for replica := range 3 {
+		cfg := soak.Config{
+			DaemonPath: daemonPath, Dir: t.TempDir(), LoopbackOctet: 2 + 2*((os.Getpid()+100+replica)%120), EntryHosts: 1,
+		}
+		run, violations, err := soak.RunKilledFirstStart(cfg, replica)
+		checkRun(t, run, violations, err, cfg.Dir)
+	}
+}
+
 // Guards against requests that are cut off where planned work overlaps: stops of several hosts, hangups, changes of the
 // configuration and drained upstreams. SOAK_SEED and SOAK_SEEDS select the schedules.
 func TestOverlappingWorkCutsNothingOff(t *testing.T) {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -30,6 +30,8 @@
 	ID string `json:"id"`
 	// Members is the member list at the time at which the disk became a member. It is written once the group has formed.
 	Members *raft.Members `json:"members,omitempty"`
+	// FirstStart is true if the disk was new when the whole fleet started for the first time.
+	FirstStart bool `json:"first_start,omitempty"`
 }
 
 // Contents is the content of the data folder when it was opened.
@@ -88,11 +90,14 @@
 	Base uint64 `json:"base"`
 }
 
-// Open reads the data folder, creating it if it is missing, and truncates a torn record at the end of the log.
-func Open(dir string) (*Store, Contents, error) { return OpenWith(dir, OSFileOps()) }
+// Open reads the data folder, creating it if it is missing, and truncates a torn record at the end of the log. firstStart is
+// recorded in the identity of a new disk.
+func Open(dir string, firstStart bool) (*Store, Contents, error) {
+	return OpenWith(dir, firstStart, OSFileOps())
+}
 
 // OpenWith is like Open but uses the given file operations.
-func OpenWith(dir string, fileOps FileOps) (*Store, Contents, error) {
+func OpenWith(dir string, firstStart bool, fileOps FileOps) (*Store, Contents, error) {
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, Contents{}, errors.Wrap(err, "create data folder")
 	}
@@ -101,7 +106,7 @@
 		return nil, Contents{}, errors.Wrapf(err, "lock %s", dir)
 	}
 	s := &Store{dir: dir, fileOps: fileOps, lockFile: lockFile}
-	c, err := s.load()
+	c, err := s.load(firstStart)
 	if err != nil {
 		_ = lockFile.Close()
 		return nil, Contents{}, errors.Wrapf(err, "load %s", dir)
@@ -153,7 +158,7 @@
 	return s.writeErr
 }
 
-func (s *Store) load() (Contents, error) {
+func (s *Store) load(firstStart bool) (Contents, error) {
 	var c Contents
 	for _, n := range []string{identityFileName, logFileName, snapshotFileName} {
 		if err := os.Remove(s.path(n + tmpSuffix)); err != nil && !errors.Is(err, os.ErrNotExist) {
@@ -165,7 +170,7 @@
 		return c, err
 	}
 	if !hasIdentity {
-		return s.initialize()
+		return s.initialize(firstStart)
 	}
 	s.id = c.Identity.ID
 	var snap raft.Snapshot
@@ -186,7 +191,7 @@
 
 // initialize creates the log and the identity of a new disk. The log is written first, so that an identity without a
 // log means that the log was lost.
-func (s *Store) initialize() (Contents, error) {
+func (s *Store) initialize(firstStart bool) (Contents, error) {
 	if _, err := os.Stat(s.path(snapshotFileName)); err == nil {
 		return Contents{}, errors.Wrap(ErrCorrupt, "found a snapshot but no identity")
 	}
@@ -199,7 +204,7 @@
 	}
 	var b [8]byte
 	_, _ = rand.Read(b[:])
-	c := Contents{Identity: Identity{ID: hex.EncodeToString(b[:])}}
+	c := Contents{Identity: Identity{ID: hex.EncodeToString(b[:]), FirstStart: firstStart}}
 	s.id = c.Identity.ID
 	if err := s.rewriteLog(0, c.HardState, nil); err != nil {
 		return c, err
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -24,7 +24,7 @@
 func createLog(t *testing.T) (dir string, lastOffset int64) {
 	is := is.New(t)
 	dir = t.TempDir()
-	s, _, err := store.Open(dir)
+	s, _, err := store.Open(dir, false)
 	is.NoErr(err)
 	for i := uint64(1); i <= 3; i++ {
 		st, err := os.Stat(filepath.Join(dir, "log"))
@@ -76,7 +76,7 @@
 			is := is.New(t)
 			dir, lastOffset := createLog(t)
 			is.NoErr(c.damage(dir, lastOffset))
-			_, contents, err := store.Open(dir)
+			_, contents, err := store.Open(dir, false)
 			if c.entries == 0 {
 				is.True(errors.Is(err, store.ErrCorrupt))
 				return
@@ -115,7 +115,7 @@
 				}
 				return workingOps
 			}
-			s, _, err := store.OpenWith(dir, store.FileOps{
+			s, _, err := store.OpenWith(dir, false, store.FileOps{
 				Write: func(f *os.File, b []byte) (int, error) { return currentOps().Write(f, b) },
 				Sync:  func(f *os.File) error { return currentOps().Sync(f) }, Rename: workingOps.Rename,
 			})
@@ -126,7 +126,7 @@
 			is.True(s.Append(nil, []raft.Entry{entry(4)}) != nil) // the store keeps rejecting writes
 			is.True(s.SaveIdentity(store.Identity{ID: "x"}) != nil)
 			is.NoErr(s.Close()) // closes the files like the end of the process does
-			_, contents, err := store.Open(dir)
+			_, contents, err := store.Open(dir, false)
 			is.NoErr(err)
 			is.True(len(contents.Log) >= 3) // acknowledged entries are still in the log
 		})
@@ -141,17 +141,17 @@
 		dir, _ := createLog(t)
 		old, err := os.ReadFile(filepath.Join(dir, "log"))
 		is.NoErr(err)
-		s, _, err := store.Open(dir)
+		s, _, err := store.Open(dir, false)
 		is.NoErr(err)
 		is.NoErr(s.SaveSnapshot(raft.Snapshot{Index: 2, Term: term}, raft.HardState{Term: 3}, nil))
 		is.NoErr(s.Close())
 		is.NoErr(os.WriteFile(filepath.Join(dir, "log"), old, 0o600))
-		s, contents, err := store.Open(dir)
+		s, contents, err := store.Open(dir, false)
 		is.NoErr(err)
 		is.Equal(len(contents.Log), want)
 		is.NoErr(s.Close())
 		is.NoErr(os.Remove(filepath.Join(dir, "snapshot")))
-		_, _, err = store.Open(dir)
+		_, _, err = store.Open(dir, false)
 		is.True(errors.Is(err, store.ErrCorrupt)) // a lost snapshot must not look like an empty state
 	}
 }
@@ -160,7 +160,7 @@
 func BenchmarkAppend(b *testing.B) {
 	for _, batch := range []int{1, 64} {
 		b.Run(fmt.Sprint(batch), func(b *testing.B) {
-			s, _, err := store.Open(b.TempDir())
+			s, _, err := store.Open(b.TempDir(), false)
 			is.New(b).NoErr(err)
 			next := uint64(1)
 			for b.Loop() {
@@ -180,12 +180,12 @@
 func TestFolderIsLocked(t *testing.T) {
 	is := is.New(t)
 	dir := t.TempDir()
-	first, _, err := store.Open(dir)
+	first, _, err := store.Open(dir, false)
 	is.NoErr(err)
-	_, _, err = store.Open(dir)
+	_, _, err = store.Open(dir, false)
 	is.True(errors.Is(err, store.ErrLocked))
 	is.NoErr(first.Close())
-	second, _, err := store.Open(dir)
+	second, _, err := store.Open(dir, false)
 	is.NoErr(err)
 	is.NoErr(second.Close())
 }
