--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -79,8 +79,8 @@
 	})
 }
 
-// RunKilledFirstStart kills a replica during the first start of the fleet, once its disk has an identity, and starts it again.
-// An error means that the fleet does not serve requests then.
+// RunKilledFirstStart kills a replica during the first start of the fleet, once its disk has an identity, and starts it
+// again. An error means that the fleet does not serve requests then.
 func RunKilledFirstStart(cfg Config, replica int) (*Run, []string, error) {
 	r := newRun(cfg, 1)
 	r.afterStart = func() error {
