Keep the leader when a report beside the renewals times out

At 30.67 s a crash report of front-pnw-salem-6 got no answer from it within 250 ms. The client of the leader, which reports and renewals share, then took the next replica for the leader, one in a zone that was cut off, and the host searched until 34.84 s without a renewal. At 34.14 s it answered 404 by table 416.

Reports of crashes and of leaving upstreams no longer replace the presumed leader by timing out; a refused connection or another leader's name does. Renewals, which every host sends all the time, still do.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -215,7 +215,7 @@
 // reportToLeader sends a report to the leader. A leader of an earlier build does not know the path; repeating the report
 // would be in vain.
 func reportToLeader[Q any](ctx context.Context, l *peer.LeaderClient, path string, report Q) error {
-	_, err := peer.CallLeader[Q, struct{}](ctx, l, path, renewTimeout, report)
+	_, err := peer.ReportToLeader[Q, struct{}](ctx, l, path, renewTimeout, report)
 	if err != nil && peer.AsError(err).Code == proto.CodeNotFound {
 		return nil
 	}
--- a/internal/peer/leader.go
+++ b/internal/peer/leader.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"baobabreach/pkg/proto"
+
+	"github.com/go-faster/errors"
 )
 
 // Paths served at the control address.
@@ -88,6 +90,20 @@
 // CallLeader sends message to the presumed leader once and waits at most timeout. If the address fails or does not lead,
 // the next message goes to another address.
 func CallLeader[Q, R any](ctx context.Context, l *LeaderClient, path string, timeout time.Duration, message Q) (R, error) {
+	return callLeader[Q, R](ctx, l, path, timeout, message, true)
+}
+
+// ReportToLeader is like CallLeader for a message beside others. A leader that does not answer it in time is kept, because
+// it may be busy and answer the others.
+func ReportToLeader[Q, R any](
+	ctx context.Context, l *LeaderClient, path string, timeout time.Duration, message Q,
+) (R, error) {
+	return callLeader[Q, R](ctx, l, path, timeout, message, false)
+}
+
+func callLeader[Q, R any](
+	ctx context.Context, l *LeaderClient, path string, timeout time.Duration, message Q, switchOnTimeout bool,
+) (R, error) {
 	address := l.Leader()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -96,7 +112,8 @@
 		return response, nil
 	}
 	e := AsError(err)
-	if e.Code == proto.CodeNotLeader || e.Code == proto.CodeInternal {
+	timedOut := errors.Is(err, context.DeadlineExceeded)
+	if e.Code == proto.CodeNotLeader || e.Code == proto.CodeInternal && (!timedOut || switchOnTimeout) {
 		l.switchLeader(address, e.Leader)
 	}
 	return response, err
