--- a/internal/soak/flood.go
+++ b/internal/soak/flood.go
@@ -188,8 +188,8 @@
 			c := &http.Client{Timeout: 3 * time.Second}
 			for n := 0; ctx.Err() == nil; n++ {
 				hosts := r.fleet.EntryHosts()
-				crash := CrashConfig{Method: http.MethodPost, Service: "orders"}
-				r.sendRepeated(ctx, c, hosts[(i+n)%len(hosts)], crash, floodTarget+"?"+strconv.Itoa(n), fmt.Sprintf("flood-%d-%d", i, n))
+				order := CrashConfig{Method: http.MethodPost, Service: "orders"}
+				r.sendRepeated(ctx, c, hosts[(i+n)%len(hosts)], order, floodTarget+"?"+strconv.Itoa(n), fmt.Sprintf("flood-%d-%d", i, n))
 			}
 		}()
 		go func() {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -107,27 +107,22 @@
 
 // Guards against upstreams that send bytes without end: entry hosts keep them until they run out of memory, and the requests
 // of all other callers end with them.
-func TestEndlessResponsesLeaveMemory(t *testing.T) {
-	cfg := soak.Config{
-		DaemonPath: buildDaemon(t), Dir: t.TempDir(), LoopbackOctet: 2 + 2*((os.Getpid()+110)%120), EntryHosts: 4,
-	}
-	run, violations, err := soak.RunEndlessResponses(cfg)
-	for _, e := range run.Events {
-		t.Log(e)
-	}
-	checkRun(t, run, violations, err, cfg.Dir)
-}
+func TestEndlessResponsesLeaveMemory(t *testing.T) { runLogged(t, 110, 4, soak.RunEndlessResponses) }
 
 // Guards against an upstream that sends reports without end: replicas keep them until they run out of memory.
-func TestEndlessReportsLeaveMemory(t *testing.T) {
+func TestEndlessReportsLeaveMemory(t *testing.T) { runLogged(t, 115, 2, soak.RunEndlessReports) }
+
+// runLogged runs a scenario and logs its events.
+func runLogged(t *testing.T, octet, entryHosts int, run func(cfg soak.Config) (*soak.Run, []string, error)) {
+	t.Helper()
 	cfg := soak.Config{
-		DaemonPath: buildDaemon(t), Dir: t.TempDir(), LoopbackOctet: 2 + 2*((os.Getpid()+115)%120), EntryHosts: 2,
+		DaemonPath: buildDaemon(t), Dir: t.TempDir(), LoopbackOctet: 2 + 2*((os.Getpid()+octet)%120), EntryHosts: entryHosts,
 	}
-	run, violations, err := soak.RunEndlessReports(cfg)
-	for _, e := range run.Events {
+	r, violations, err := run(cfg)
+	for _, e := range r.Events {
 		t.Log(e)
 	}
-	checkRun(t, run, violations, err, cfg.Dir)
+	checkRun(t, r, violations, err, cfg.Dir)
 }
 
 // Guards against a fleet that never forms a group of replicas because one of them was killed during its first start: its
