Reserve the loopback addresses of soak runs

Cause: a run chose its loopback addresses by the process ID alone, so two test processes could choose the same ones; the soaks by hand were two more. TestPlannedStopsCutNothingOff even took odd ones, which are the proxies of others.

A run now listens on a lock port of its addresses and tries the next ones if they are taken. Seeds are subtests, so that addresses are free again after each. Nothing that the runs check has changed.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -1,6 +1,8 @@
 package soak_test
 
 import (
+	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -33,6 +35,26 @@
 	return fallback
 }
 
+// octetLockPort is the port on which a run listens to keep its loopback addresses from other processes and parallel tests.
+const octetLockPort = 7539
+
+// freeOctet returns an even second octet of loopback addresses, and keeps it and the next one until the end of the test.
+// Tests of a process that start with different numbers rarely try the same octets.
+func freeOctet(t *testing.T, start int) int {
+	t.Helper()
+	const octets = 120
+	for i := range octets {
+		octet := 2 + 2*((os.Getpid()+start+i)%octets)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.255.1:%d", octet, octetLockPort))
+		if err == nil {
+			t.Cleanup(func() { _ = l.Close() })
+			return octet
+		}
+	}
+	t.Fatal("other processes use all loopback addresses")
+	return 0
+}
+
 // schedule is a seed and the number of entry hosts, which affects the random choice of hosts.
 type schedule struct {
 	seed       uint64
@@ -57,24 +79,25 @@
 		schedules = append(schedules, schedule{seed: first + i, entryHosts: entryHosts})
 	}
 	for i, x := range schedules {
-		seed := x.seed
-		cfg := soak.Config{
-			DaemonPath: daemonPath, Dir: t.TempDir(), LoopbackOctet: 2 + 2*((os.Getpid()+i)%120), EntryHosts: x.entryHosts,
-		}
-		run, violations, err := soak.RunSchedule(cfg, seed)
-		answered, failed := run.Counts()
-		t.Logf("seed %d: %d answered, %d failed, %d faults", seed, answered, failed, len(run.Events))
-		if err == nil && answered == 0 {
-			violations = append(violations, "no request was answered")
-		}
-		checkRun(t, run, violations, err, cfg.Dir)
+		t.Run(fmt.Sprintf("seed_%d", x.seed), func(t *testing.T) {
+			cfg := soak.Config{
+				DaemonPath: daemonPath, Dir: t.TempDir(), LoopbackOctet: freeOctet(t, i), EntryHosts: x.entryHosts,
+			}
+			run, violations, err := soak.RunSchedule(cfg, x.seed)
+			answered, failed := run.Counts()
+			t.Logf("seed %d: %d answered, %d failed, %d faults", x.seed, answered, failed, len(run.Events))
+			if err == nil && answered == 0 {
+				violations = append(violations, "no request was answered")
+			}
+			checkRun(t, run, violations, err, cfg.Dir)
+		})
 	}
 }
 
 // Guards against requests that are cut off without an answer by a planned stop under load, after an upstream ran them.
 func TestPlannedStopsCutNothingOff(t *testing.T) {
 	cfg := soak.Config{
-		DaemonPath: buildDaemon(t), Dir: t.TempDir(), LoopbackOctet: 3 + 2*(os.Getpid()%120), EntryHosts: 3,
+		DaemonPath: buildDaemon(t), Dir: t.TempDir(), LoopbackOctet: freeOctet(t, 120), EntryHosts: 3,
 	}
 	run, violations, err := soak.RunPlannedStops(cfg)
 	answered, failed := run.Counts()
@@ -90,7 +113,7 @@
 func TestLateOrdersAreAnswered(t *testing.T) {
 	t.Parallel()
 	cfg := soak.Config{
-		DaemonPath: buildDaemon(t), Dir: t.TempDir(), LoopbackOctet: 2 + 2*((os.Getpid()+80)%120), EntryHosts: 3,
+		DaemonPath: buildDaemon(t), Dir: t.TempDir(), LoopbackOctet: freeOctet(t, 80), EntryHosts: 3,
 	}
 	run, violations, err := soak.RunLateOrders(cfg)
 	answered, failed := run.Counts()
@@ -116,7 +139,7 @@
 func runLogged(t *testing.T, octet, entryHosts int, run func(cfg soak.Config) (*soak.Run, []string, error)) {
 	t.Helper()
 	cfg := soak.Config{
-		DaemonPath: buildDaemon(t), Dir: t.TempDir(), LoopbackOctet: 2 + 2*((os.Getpid()+octet)%120), EntryHosts: entryHosts,
+		DaemonPath: buildDaemon(t), Dir: t.TempDir(), LoopbackOctet: freeOctet(t, octet), EntryHosts: entryHosts,
 	}
 	r, violations, err := run(cfg)
 	for _, e := range r.Events {
@@ -131,7 +154,7 @@
 	daemonPath := buildDaemon(t)
 	for replica := range 3 {
 		cfg := soak.Config{
-			DaemonPath: daemonPath, Dir: t.TempDir(), LoopbackOctet: 2 + 2*((os.Getpid()+100+replica)%120), EntryHosts: 1,
+			DaemonPath: daemonPath, Dir: t.TempDir(), LoopbackOctet: freeOctet(t, 100+replica), EntryHosts: 1,
 		}
 		run, violations, err := soak.RunKilledFirstStart(cfg, replica)
 		checkRun(t, run, violations, err, cfg.Dir)
@@ -152,14 +175,15 @@
 	daemonPath := buildDaemon(t)
 	first, count := envUint("SOAK_SEED", 1), envUint("SOAK_SEEDS", 1)
 	for i := range count {
-		cfg := soak.Config{
-			DaemonPath: daemonPath, Dir: t.TempDir(), LoopbackOctet: 2 + 2*((os.Getpid()+firstOctet+int(i))%120),
-			EntryHosts: entryHosts,
-		}
-		r, violations, err := run(cfg, first+i)
-		answered, failed := r.Counts()
-		t.Logf("seed %d: %d answered, %d failed", first+i, answered, failed)
-		checkRun(t, r, violations, err, cfg.Dir)
+		t.Run(fmt.Sprintf("seed_%d", first+i), func(t *testing.T) {
+			cfg := soak.Config{
+				DaemonPath: daemonPath, Dir: t.TempDir(), LoopbackOctet: freeOctet(t, firstOctet+int(i)), EntryHosts: entryHosts,
+			}
+			r, violations, err := run(cfg, first+i)
+			answered, failed := r.Counts()
+			t.Logf("seed %d: %d answered, %d failed", first+i, answered, failed)
+			checkRun(t, r, violations, err, cfg.Dir)
+		})
 	}
 }
 
@@ -207,7 +231,7 @@
 		t.Run(crash.Name, func(t *testing.T) {
 			t.Parallel()
 			cfg := soak.Config{
-				DaemonPath: daemonPath, Dir: t.TempDir(), LoopbackOctet: 2 + 2*((os.Getpid()+40+i)%120), EntryHosts: 4,
+				DaemonPath: daemonPath, Dir: t.TempDir(), LoopbackOctet: freeOctet(t, 40+i), EntryHosts: 4,
 			}
 			run, violations, err := soak.RunCrashingRequest(cfg, crash)
 			if n := len(run.Events); n > 0 {
@@ -247,7 +271,7 @@
 	for name, disturb := range disturbances {
 		octet++
 		cfg := soak.Config{
-			DaemonPath: daemonPath, Dir: t.TempDir(), LoopbackOctet: 2 + 2*((os.Getpid()+octet)%120), EntryHosts: 3,
+			DaemonPath: daemonPath, Dir: t.TempDir(), LoopbackOctet: freeOctet(t, octet), EntryHosts: 3,
 		}
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -267,7 +291,7 @@
 		t.Run(method, func(t *testing.T) {
 			t.Parallel()
 			cfg := soak.Config{
-				DaemonPath: daemonPath, Dir: t.TempDir(), LoopbackOctet: 2 + 2*((os.Getpid()+55+i)%120), EntryHosts: 4,
+				DaemonPath: daemonPath, Dir: t.TempDir(), LoopbackOctet: freeOctet(t, 55+i), EntryHosts: 4,
 			}
 			run, violations, err := soak.RunHarmlessRequest(cfg, method)
 			if n := len(run.Events); n > 0 {
