--- a/internal/daemon/bootstrap.go
+++ b/internal/daemon/bootstrap.go
@@ -26,8 +26,7 @@
 	// Members is nil until the group has formed.
 	Members *raft.Members `json:"members,omitempty"`
 	// FirstStart is false if the disk was not new when the fleet started for the first time, for example after it was
-	// replaced.
-	// Such a replica may join a group but never forms one.
+	// replaced. Such a replica may join a group but never forms one.
 	FirstStart bool `json:"first_start"`
 }
 
