--- a/review/harness/backend.go
+++ b/review/harness/backend.go
@@ -396,6 +396,28 @@
 	return err == nil && status/100 == 2
 }
 
+// DeleteKept is like Delete, but uses the connection of the reports.
+func (b *Backend) DeleteKept() bool {
+	b.mu.Lock()
+	address := b.heartbeatURL
+	b.mu.Unlock()
+	if address == "" {
+		address = b.cfg.ControlAddress[0]
+	}
+	ctx, cancel := context.WithTimeout(b.ctx, reportTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+address+"/baobabreach/instances/"+b.cfg.ID, nil)
+	if err != nil {
+		return false
+	}
+	resp, err := b.client.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode/100 == 2
+}
+
 func (b *Backend) accept() {
 	for {
 		c, err := b.listener.Accept()
--- a/review/harness/link.go
+++ b/review/harness/link.go
@@ -17,7 +17,6 @@
 	mu sync.Mutex
 	// healed is closed while the link is not cut.
 	healed chan struct{}
-	cuts   int
 	// late is how much later than the end of a cut the bytes arrive that were held up.
 	late time.Duration
 	// slow is the time that bytes to the target take.
@@ -44,7 +43,6 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.healed, k.late = make(chan struct{}), late
-	k.cuts++
 }
 
 // Heal ends the cut.
@@ -54,10 +52,10 @@
 	close(k.healed)
 }
 
-func (k *Link) state() (healed <-chan struct{}, cuts int, late time.Duration) {
+func (k *Link) state() <-chan struct{} {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.healed, k.cuts, k.late
+	return k.healed
 }
 
 func (k *Link) accept() {
@@ -72,7 +70,7 @@
 
 func (k *Link) forward(c net.Conn) {
 	defer func() { _ = c.Close() }()
-	healed, cuts, _ := k.state()
+	healed := k.state()
 	select {
 	case <-healed:
 	default:
@@ -97,11 +95,11 @@
 	defer func() { _ = s.Close() }()
 	done := make(chan struct{}, 2)
 	go func() {
-		k.pipe(s, c, cuts, true)
+		k.pipe(s, c, true)
 		done <- struct{}{}
 	}()
 	go func() {
-		k.pipe(c, s, cuts, false)
+		k.pipe(c, s, false)
 		_ = c.Close()
 		done <- struct{}{}
 	}()
@@ -109,46 +107,65 @@
 	<-done
 }
 
-// pipe copies until the end of from. Bytes that arrive during a cut are held up.
-func (k *Link) pipe(to, from net.Conn, cuts int, outward bool) {
-	var b [64 << 10]byte
-	for {
-		n, err := from.Read(b[:])
-		if healed, count, late := k.state(); count != cuts && n > 0 {
-			select {
-			case <-healed:
-			default:
-				<-healed
-				time.Sleep(late)
+// packet is what one read returned, and when it may arrive.
+type packet struct {
+	bytes []byte
+	err   error
+	due   time.Time
+	// healed is not nil for bytes that a cut holds up. They arrive late after it.
+	healed <-chan struct{}
+	late   time.Duration
+}
+
+// pipe copies until the end of from. Bytes, and the end, arrive in order and as late as the link makes them.
+func (k *Link) pipe(to, from net.Conn, outward bool) {
+	packets := make(chan packet, 1024)
+	go func() {
+		defer close(packets)
+		for {
+			b := make([]byte, 64<<10)
+			n, err := from.Read(b)
+			packets <- k.packet(b[:n], err, outward)
+			if err != nil {
+				return
 			}
-			cuts = count
 		}
-		if outward && n > 0 {
-			time.Sleep(k.slowness())
+	}()
+	for p := range packets {
+		if p.healed != nil {
+			<-p.healed
+			p.due = time.Now().Add(p.late)
 		}
-		if n > 0 {
-			if _, err := to.Write(b[:n]); err != nil {
-				return
+		time.Sleep(time.Until(p.due))
+		if len(p.bytes) > 0 {
+			if _, err := to.Write(p.bytes); err != nil {
+				_ = from.Close()
 			}
 		}
-		if err != nil {
-			if t, ok := to.(*net.TCPConn); ok {
-				_ = t.CloseWrite()
-			}
-			return
+		if t, ok := to.(*net.TCPConn); ok && p.err != nil {
+			_ = t.CloseWrite()
 		}
 	}
 }
 
-// Slow makes all bytes to the target arrive late, without changing their order.
-func (k *Link) Slow(d time.Duration) {
+func (k *Link) packet(b []byte, err error, outward bool) packet {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.slow = d
+	p := packet{bytes: b, err: err, due: time.Now()}
+	if outward {
+		p.due = p.due.Add(k.slow)
+	}
+	select {
+	case <-k.healed:
+	default:
+		p.healed, p.late = k.healed, k.late
+	}
+	return p
 }
 
-func (k *Link) slowness() time.Duration {
+// Slow makes all bytes to the target arrive late, without changing their order.
+func (k *Link) Slow(d time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.slow
+	k.slow = d
 }
--- a/review/harness/operator.go
+++ b/review/harness/operator.go
@@ -24,17 +24,22 @@
 
 // DesiredState returns the first call of an operator, with all items at version r7.
 func DesiredState(routes []Route, services []Service) ([]byte, error) {
+	return DesiredStateAt("r7", routes, services)
+}
+
+// DesiredStateAt returns a call of an operator with all items at a version.
+func DesiredStateAt(version string, routes []Route, services []Service) ([]byte, error) {
 	table := func(columns []string, rows [][]any) map[string]any {
 		return map[string]any{"Columns": columns, "Rows": rows}
 	}
 	var routeRows, serviceRows [][]any
 	for _, r := range routes {
 		routeRows = append(routeRows, []any{
-			r.Name, r.Host, r.Prefix, r.Type, r.Timeout, r.TargetLatency, 1, nil, r.MaxAttempts, "r7", r.Service,
+			r.Name, r.Host, r.Prefix, r.Type, r.Timeout, r.TargetLatency, 1, nil, r.MaxAttempts, version, r.Service,
 		})
 	}
 	for _, s := range services {
-		row := []any{s.Name, "/health", 130, "h1", false, nil, nil, nil, "r7"}
+		row := []any{s.Name, "/health", 130, "h1", false, nil, nil, nil, version}
 		if s.Sharded {
 			row[5], row[6], row[7] = true, "2s", "heartbeat"
 		}
@@ -51,7 +56,7 @@
 			}, serviceRows),
 			"Limits": map[string]any{
 				"MaxHeaderBytes": 16384, "MaxBodyBytes": 67108864, "HeaderTimeout": "3000ms", "IdleTimeout": "15000ms",
-				"Version": "r7",
+				"Version": version,
 			},
 		},
 		"Remove": map[string]any{"Routes": []any{}},
