--- a/review/harness/backend.go
+++ b/review/harness/backend.go
@@ -42,11 +42,6 @@
 	OnArrival func(b *Backend, id string, status int)
 	// OnRun sees each request that begins to run. It may be nil. If it returns false, the connection is reset without an answer.
 	OnRun func(b *Backend, r *http.Request, id string) bool
-	// Refuse turns a request away like a full backend if it returns true. It may be nil.
-	Refuse func() bool
-	// SecondCopy returns true if a second copy of the answer follows, late, where the next answer on the connection is
-	// expected. It may be nil.
-	SecondCopy func(status int) bool
 }
 
 // row is a range of keys with its generation number.
@@ -84,10 +79,8 @@
 	working      map[*work]bool
 	sequence     int
 	heartbeatURL string
-	draining     bool
 	silent       bool
 	conns        map[net.Conn]bool
-	ackedAt      time.Time
 }
 
 // StartBackend starts a backend that listens and reports itself.
@@ -117,9 +110,6 @@
 // Zone returns the zone of the backend.
 func (b *Backend) Zone() string { return b.cfg.Zone }
 
-// Born returns the start of the backend.
-func (b *Backend) Born() int64 { return b.cfg.Born }
-
 // Report starts the status reports.
 func (b *Backend) Report() { go b.reportLoop() }
 
@@ -141,13 +131,6 @@
 // Ended reports whether the backend has ended.
 func (b *Backend) Ended() bool { return b.ctx.Err() != nil }
 
-// Drain makes the following reports say that the backend leaves.
-func (b *Backend) Drain() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.draining = true
-}
-
 // StopReports ends the reports, as before a DELETE.
 func (b *Backend) StopReports() {
 	b.mu.Lock()
@@ -187,29 +170,11 @@
 	return n
 }
 
-// Sequence returns the sequence number of the last report.
-func (b *Backend) Sequence() int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.sequence
-}
-
-// ReportBody returns the next status report.
-func (b *Backend) ReportBody() []byte {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.reportBody()
-}
-
 func (b *Backend) reportBody() []byte {
 	b.sequence++
-	state := "ready"
-	if b.draining {
-		state = "draining"
-	}
 	m := map[string]any{
 		"Service": b.cfg.Service, "Address": b.cfg.Address, "Zone": b.cfg.Zone, "Version": "v1", "Slots": b.cfg.Slots,
-		"State": state, "WarmupLeft": "0ms", "Sequence": b.sequence, "born": b.cfg.Born,
+		"State": "ready", "WarmupLeft": "0ms", "Sequence": b.sequence, "born": b.cfg.Born,
 	}
 	if b.cfg.Sharded {
 		holds := [][]any{}
@@ -255,7 +220,7 @@
 		if address == "" {
 			address = b.cfg.ControlAddress[next%len(b.cfg.ControlAddress)]
 		}
-		body, sentReleased, draining := b.reportBody(), len(b.released), b.draining
+		body, sentReleased := b.reportBody(), len(b.released)
 		b.mu.Unlock()
 		sentAt := time.Now()
 		answer, err := b.put(address, body)
@@ -267,10 +232,6 @@
 			wait = releaseInterval
 		} else {
 			b.released = b.released[sentReleased:]
-			if draining && b.ackedAt.IsZero() {
-				b.ackedAt = time.Now()
-				b.cfg.Record.Printf("%s: draining is acknowledged", b.cfg.ID)
-			}
 			if b.apply(sentAt, answer) {
 				wait = releaseInterval
 			}
@@ -439,8 +400,6 @@
 		b.mu.Unlock()
 	}()
 	br := bufio.NewReader(c)
-	var lateCopy []byte
-	copied := ""
 	for {
 		r, err := http.ReadRequest(br)
 		if err != nil {
@@ -449,42 +408,29 @@
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
-		if lateCopy != nil {
-			b.cfg.Record.Printf("%s: second copy of the answer %s, as %s arrives", b.cfg.ID, copied, r.Header.Get("Attempt-Id"))
-			if _, err := c.Write(lateCopy); err != nil {
-				return
-			}
-			lateCopy = nil
-		}
-		answer, status := b.handle(r)
+		answer := b.handle(r)
 		if answer == nil {
 			return
 		}
 		if _, err := c.Write(answer); err != nil {
 			return
 		}
-		if b.cfg.SecondCopy != nil && b.cfg.SecondCopy(status) {
-			lateCopy, copied = answer, fmt.Sprint(status, " to ", r.Header.Get("Attempt-Id"))
-		}
 	}
 }
 
 // handle answers a request. A nil answer resets the connection.
-func (b *Backend) handle(r *http.Request) ([]byte, int) {
+func (b *Backend) handle(r *http.Request) []byte {
 	id := r.Header.Get("Attempt-Id")
 	if r.Method == http.MethodGet && r.URL.Path == "/health" {
-		return encodeAnswer(http.StatusOK, map[string]string{"Instance-Id": b.cfg.ID}, nil), http.StatusOK
+		return encodeAnswer(http.StatusOK, map[string]string{"Instance-Id": b.cfg.ID}, nil)
 	}
-	refuse := func(status int) ([]byte, int) {
+	refuse := func(status int) []byte {
 		b.arrived(id, status)
-		return encodeAnswer(status, map[string]string{"Attempt-Id": id, "Not-Executed": "1"}, nil), status
+		return encodeAnswer(status, map[string]string{"Attempt-Id": id, "Not-Executed": "1"}, nil)
 	}
 	if e := r.Header.Get("Expected-Instance"); e != "" && e != b.cfg.ID {
 		return refuse(http.StatusMisdirectedRequest)
 	}
-	if b.cfg.Refuse != nil && b.cfg.Refuse() {
-		return refuse(http.StatusServiceUnavailable)
-	}
 	if !b.enter(r) {
 		return refuse(http.StatusServiceUnavailable)
 	}
@@ -500,15 +446,15 @@
 	b.arrived(id, 0)
 	b.cfg.Record.Printf("%s: runs %s key %d generation %d", b.cfg.ID, id, w.key, w.row.fence)
 	if b.cfg.OnRun != nil && !b.cfg.OnRun(b, r, id) {
-		return nil, 0
+		return nil
 	}
 	select {
 	case <-b.ctx.Done():
-		return nil, 0
+		return nil
 	case <-time.After(b.cfg.Work(r)):
 	}
 	header := map[string]string{"Attempt-Id": id, "Response-Signature": b.cfg.ID + "." + id, "Keep-Alive": "timeout=10"}
-	return encodeAnswer(http.StatusOK, header, []byte("done by "+b.cfg.ID)), http.StatusOK
+	return encodeAnswer(http.StatusOK, header, []byte("done by "+b.cfg.ID))
 }
 
 func (b *Backend) arrived(id string, status int) {
@@ -577,18 +523,6 @@
 	delete(b.working, w)
 }
 
-// WorksOn reports whether the backend runs a request for the key.
-func (b *Backend) WorksOn(key int) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for w := range b.working {
-		if w.key == key {
-			return true
-		}
-	}
-	return false
-}
-
 func encodeAnswer(status int, header map[string]string, body []byte) []byte {
 	var out bytes.Buffer
 	fmt.Fprintf(&out, "HTTP/1.1 %d %s\r\nContent-Length: %d\r\n", status, http.StatusText(status), len(body))
--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -1,7 +1,6 @@
 package harness
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -171,7 +170,7 @@
 	return nil
 }
 
-// StartAll starts all machines and waits until every core machine answers for the system and every front is reachable.
+// StartAll starts all machines.
 func (f *Fleet) StartAll() error {
 	for _, m := range append(append([]*Machine{}, f.Cores...), f.Fronts...) {
 		if err := f.Start(m); err != nil {
@@ -200,19 +199,6 @@
 	m.process = nil
 }
 
-// Running reports whether the process of a machine runs.
-func (m *Machine) Running() bool {
-	if m.process == nil {
-		return false
-	}
-	select {
-	case <-m.exited:
-		return false
-	default:
-		return true
-	}
-}
-
 // Ready reports whether a front answers the readiness check of the platform with 200.
 func (m *Machine) Ready() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -248,27 +234,6 @@
 	}
 }
 
-// LogLines returns the lines in the logs of all machines that contain all the texts.
-func (f *Fleet) LogLines(texts ...string) []string {
-	var out []string
-	for _, m := range append(append([]*Machine{}, f.Cores...), f.Fronts...) {
-		b, err := os.ReadFile(filepath.Join(m.dir, "log"))
-		if err != nil {
-			continue
-		}
-		for line := range bytes.Lines(b) {
-			match := true
-			for _, t := range texts {
-				match = match && bytes.Contains(line, []byte(t))
-			}
-			if match {
-				out = append(out, m.Name+" "+strings.TrimSpace(string(line)))
-			}
-		}
-	}
-	return out
-}
-
 // Close kills all processes and removes the folder, unless KEEP is set in the environment.
 func (f *Fleet) Close() {
 	for _, m := range append(append([]*Machine{}, f.Cores...), f.Fronts...) {
@@ -280,6 +245,3 @@
 		fmt.Println("kept", f.Dir)
 	}
 }
-
-// Pid returns the process ID of a machine.
-func (m *Machine) Pid() int { return m.process.Process.Pid }
