owner: record every leave, and take none for the next process of its name

Without it the end is presumed: it is in the replicated state, holds for the known process, or for any if none is known, and is withdrawn once the process announces itself more than 15 s after the notice, when nothing that was sent before can be on its way any more.

--- a/internal/daemon/registry.go
+++ b/internal/daemon/registry.go
@@ -91,8 +91,8 @@
 }
 
 // MarkLeaving marks an upstream as leaving and returns once that is committed.
-func (r Registry) MarkLeaving(ctx context.Context, name string) error {
-	_, err := callLeader(ctx, r, peer.PathMarkLeaving, forwardTimeout, r.handleMarkLeaving, name)
+func (r Registry) MarkLeaving(ctx context.Context, notice proto.LeaveNotice) error {
+	_, err := callLeader(ctx, r, peer.PathMarkLeaving, forwardTimeout, r.handleMarkLeaving, notice)
 	return err
 }
 
@@ -192,20 +192,24 @@
 	return proto.NotRun(proto.CodeNoLeader, http.StatusServiceUnavailable, "the leave of %s is not committed", name)
 }
 
-func (r Registry) handleMarkLeaving(ctx context.Context, name string) (struct{}, error) {
+func (r Registry) handleMarkLeaving(ctx context.Context, notice proto.LeaveNotice) (struct{}, error) {
 	n, err := r.leaderNode()
 	if err != nil {
 		return struct{}{}, err
 	}
 	deadline := r.clock() + leaveCommitTimeout
+	incarnation, err := n.MarkLeaving(notice)
+	if err != nil {
+		return struct{}{}, err
+	}
+	r.log.Info("upstream leaves", "upstream", notice.Name, "incarnation", incarnation, "named", notice.Incarnation > 0)
 	for {
 		changed := n.Changed()
-		leaving, err := n.MarkLeaving(name)
-		if err != nil || leaving {
-			return struct{}{}, err
+		if n.Model().HasEnded(notice.Name, incarnation) {
+			return struct{}{}, n.CheckLeader()
 		}
 		if r.clock() >= deadline {
-			return struct{}{}, errLeaveNotCommitted(name)
+			return struct{}{}, errLeaveNotCommitted(notice.Name)
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -117,14 +117,15 @@
 // Syncs returns the number of disk syncs of this replica.
 func (n *Node) Syncs() int64 { return n.cfg.Store.SyncCount() }
 
-// MarkLeaving records on the leader that an upstream is leaving, and returns true once the state shows it.
-func (n *Node) MarkLeaving(name string) (bool, error) {
+// MarkLeaving records on the leader that an upstream is leaving. It returns the incarnation that the notice is taken for; the
+// state shows the leave once that one has ended there.
+func (n *Node) MarkLeaving(notice proto.LeaveNotice) (incarnation uint64, err error) {
 	n.plannerMu.Lock()
 	defer n.plannerMu.Unlock()
 	if err := n.requireLeader(); err != nil {
-		return false, err
+		return 0, err
 	}
-	return n.planner.MarkLeaving(n.cfg.Clock(), n.model.Load(), name), nil
+	return n.planner.MarkLeaving(n.cfg.Clock(), n.model.Load(), notice), nil
 }
 
 // RecordLeaving records on the leader that upstreams say in their answers that they leave.
--- a/internal/owner/late_test.go
+++ b/internal/owner/late_test.go
@@ -54,7 +54,7 @@
 	f.tick()
 	_, err := f.planner.Announce(f.now, f.machine.Model(), late)
 	is.True(err == nil)
-	f.planner.MarkLeaving(f.now, f.machine.Model(), "b")
+	f.leave(proto.LeaveNotice{Name: "b"})
 	b.nextAnnounce = f.now + time.Hour
 	f.run(2*time.Second, a, b)
 	is.True(len(b.held(f.now)) > 0)
@@ -105,7 +105,7 @@
 				f.run(3*time.Second, a, b)
 			}
 			b.nextAnnounce = f.now + time.Hour
-			for !f.planner.MarkLeaving(f.now, f.machine.Model(), "b") {
+			for !f.leave(proto.LeaveNotice{Name: "b"}) {
 				f.tick()
 			}
 			// The notice is acknowledged only once the state shows it.
--- a/internal/owner/leave.go
+++ b/internal/owner/leave.go
@@ -1,7 +1,7 @@
 package owner
 
 import (
-	"maps"
+	"math"
 	"net/http"
 	"time"
 
@@ -11,24 +11,43 @@
 	"baobabreach/pkg/proto"
 )
 
-// MarkLeaving handles the notice of an upstream that is about to exit. It returns true once the state shows that the
-// upstream leaves, so that neither entry hosts nor the next leader use it. What it still holds stays its own until its
-// grant expires.
-func (p *Planner) MarkLeaving(now time.Duration, s *model.State, name string) bool {
+// maxMessageDelay is the longest time for which a message of an upstream may be on its way. Partitions hold messages up.
+const maxMessageDelay = 15 * time.Second
+
+// MarkLeaving handles the notice of an upstream that is about to exit. Once the state shows the returned incarnation as
+// ended, neither entry hosts nor the next leader use the upstream. What it still holds stays its own until its grant
+// expires.
+//
+// A notice that names no incarnation may have been held up, so that a later process of the name runs by now, and so may
+// announcements from before the notice. It is taken for the notice of the known process, or of any if there is none, until
+// that process has announced itself for longer than a message can be on its way.
+func (p *Planner) MarkLeaving(now time.Duration, s *model.State, notice proto.LeaveNotice) (incarnation uint64) {
 	p.observe(s)
-	rec := p.upstreams[name]
-	if rec == nil {
-		return true
+	rec := p.upstreams[notice.Name]
+	incarnation = notice.Incarnation
+	switch {
+	case incarnation > 0:
+		p.ended.add(notice.Name, incarnation)
+	case rec == nil && now < p.presumptions[notice.Name].since+maxMessageDelay && s.Ended[notice.Name].Presumed > 0:
+		// The notice was sent before.
+		incarnation = s.Ended[notice.Name].Presumed
+	case rec == nil:
+		incarnation = math.MaxUint64
+	default:
+		incarnation = rec.info.Incarnation
+	}
+	if notice.Incarnation == 0 {
+		p.ended.presume(notice.Name, incarnation)
+		p.presumptions[notice.Name] = presumption{since: now}
+	}
+	if rec == nil || rec.info.Incarnation > incarnation {
+		return incarnation
 	}
-	p.ended.add(rec.info)
 	rec.draining, rec.gone = true, true
 	if rec.announced && !rec.holdsRows && len(rec.rows) == 0 && !p.mayHoldInherited(now, s, rec) {
 		rec.grantedUntil = min(rec.grantedUntil, now)
 	}
-	if u, ok := s.Upstreams[name]; ok {
-		return u.LeavingSince > 0
-	}
-	return s.HasEnded(name, rec.info.Incarnation)
+	return incarnation
 }
 
 // RecordLeaving handles the notice of an entry host that an upstream says in its answers that it leaves. The upstream may
@@ -40,37 +59,85 @@
 	}
 }
 
-// endedUpstreams maps the name of an upstream that left or was replaced to its highest ended incarnation, until the state
-// records it.
-type endedUpstreams map[string]uint64
+// endedUpstreams holds the upstreams that left or were replaced, by name, until the state records it.
+type endedUpstreams map[string]model.EndedUpstream
 
-func (e endedUpstreams) add(u model.Upstream) { e[u.Name] = max(e[u.Name], u.Incarnation) }
+func (e endedUpstreams) add(name string, incarnation uint64) {
+	x := e[name]
+	x.Incarnation = max(x.Incarnation, incarnation)
+	e[name] = x
+}
+
+func (e endedUpstreams) presume(name string, incarnation uint64) {
+	x := e[name]
+	x.Presumed = max(x.Presumed, incarnation)
+	e[name] = x
+}
 
-// hasEnded reports whether a process is known to have ended.
+// hasEnded reports whether a process is known or presumed to have ended.
 func (p *Planner) hasEnded(s *model.State, u model.Upstream) bool {
-	last, ok := p.ended[u.Name]
-	return (ok && u.Incarnation <= last) || s.HasEnded(u.Name, u.Incarnation)
+	x := p.ended[u.Name]
+	return u.Incarnation <= max(x.Incarnation, x.Presumed) || s.HasEnded(u.Name, u.Incarnation)
 }
 
-// answerEnded answers an announcement of a process that is known to have ended. Only the notice that it leaves is
-// acknowledged.
-func (p *Planner) answerEnded(an proto.Announcement) (proto.Grant, *proto.Error) {
+// answerEnded answers an announcement of a process that is known or presumed to have ended. Only the notice that it leaves
+// is acknowledged.
+func (p *Planner) answerEnded(now time.Duration, s *model.State, an proto.Announcement) (proto.Grant, *proto.Error) {
 	if an.Draining || an.Gone {
 		g := p.emptyGrant()
 		g.Drained, g.Leaving = true, true
 		return g, nil
 	}
+	p.checkPresumption(now, s, an)
 	return proto.Grant{}, proto.NotRun(proto.CodeSuperseded, http.StatusConflict,
 		"upstream %s of incarnation %d has left or was replaced", an.Name, an.Incarnation)
 }
 
-// recordEnds returns the commands that record in the state which upstreams have ended. The next leader knows nothing else of
-// an upstream that was not registered.
+// presumption describes the notice because of which an upstream is presumed to have ended.
+type presumption struct {
+	// since is when the notice arrived, or when this leader first heard of the upstream after it.
+	since time.Duration
+	// disproved is true once an announcement has arrived that was sent after the notice.
+	disproved bool
+}
+
+// checkPresumption withdraws the presumed end of a process that has announced itself when its messages from before the notice
+// could no longer be on their way.
+func (p *Planner) checkPresumption(now time.Duration, s *model.State, an proto.Announcement) {
+	if !s.IsPresumedEnded(an.Name, an.Incarnation) {
+		return
+	}
+	x, ok := p.presumptions[an.Name]
+	if !ok {
+		x.since = now
+	}
+	x.disproved = x.disproved || now >= x.since+maxMessageDelay
+	p.presumptions[an.Name] = x
+}
+
+// recordEnds returns the commands that record in the state which upstreams have ended, and which have not after all. The next
+// leader knows nothing else of an upstream that was not registered.
 func (p *Planner) recordEnds(s *model.State) []state.Command {
-	maps.DeleteFunc(p.ended, s.HasEnded)
 	var cs []state.Command
 	for _, name := range sortedKeys(p.ended) {
-		cs = append(cs, state.Command{End: &state.End{Name: name, Incarnation: p.ended[name]}})
+		n, x := len(cs), p.ended[name]
+		if x.Incarnation > 0 && (!s.HasEnded(name, x.Incarnation) || s.IsPresumedEnded(name, x.Incarnation)) {
+			cs = append(cs, state.Command{End: &state.End{Name: name, Incarnation: x.Incarnation}})
+		}
+		if !s.HasEnded(name, x.Presumed) {
+			cs = append(cs, state.Command{End: &state.End{Name: name, Incarnation: x.Presumed, Presumed: true}})
+		}
+		if len(cs) == n {
+			delete(p.ended, name)
+		}
+	}
+	for _, name := range sortedKeys(p.presumptions) {
+		switch {
+		case s.Ended[name].Presumed == 0 && p.ended[name].Presumed == 0:
+			delete(p.presumptions, name)
+		case p.presumptions[name].disproved:
+			cs = append(cs, state.Command{WithdrawEnd: &state.WithdrawEnd{Name: name}})
+		}
 	}
 	return cs
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -153,8 +153,10 @@
 	index       rangeIndex
 	daemons     daemonList
 	ended       endedUpstreams
-	handovers   handovers
-	lastPass    planPass
+	// presumptions holds the upstreams that are presumed to have ended, by name.
+	presumptions map[string]presumption
+	handovers    handovers
+	lastPass     planPass
 	// nextOwner maps the ID of a range that is being moved to the name of the upstream that is to get it.
 	nextOwner map[uint64]string
 	// arrivals holds, by service, when the service's first and its latest upstream first announced themselves to this
@@ -177,7 +179,7 @@
 	p := &Planner{
 		cfg: cfg, safeguards: guards, upstreams: map[string]*upstreamRecord{}, hosts: map[string]*entryHost{},
 		loads: newLoadTracker(), limits: limit.NewAllocator(now + guards.margin(max(cfg.GrantTTL, cfg.LeaseTTL))),
-		ended: endedUpstreams{}, nextOwner: map[uint64]string{}, arrivals: map[string]timeSpan{}, history: cfg.History,
+		ended: endedUpstreams{}, presumptions: map[string]presumption{}, nextOwner: map[uint64]string{}, arrivals: map[string]timeSpan{}, history: cfg.History,
 	}
 	if guards.waitPredecessor {
 		p.predecessorExpiry = now + guards.margin(max(cfg.GrantTTL, cfg.LeaseTTL))
@@ -198,7 +200,7 @@
 		Service: an.Service, Slots: an.Slots, ChecksGrants: an.ChecksGrants,
 	}
 	if p.hasEnded(s, info) {
-		return p.answerEnded(an)
+		return p.answerEnded(now, s, an)
 	}
 	if p.isForeign(s, info) {
 		g := p.emptyGrant()
--- a/internal/owner/rows_test.go
+++ b/internal/owner/rows_test.go
@@ -65,6 +65,11 @@
 
 func (f *rowsFleet) tick() { f.apply(f.planner.Tick(f.now, f.machine.Model())) }
 
+// leave delivers the notice of an upstream that leaves, and reports whether the state shows it.
+func (f *rowsFleet) leave(n proto.LeaveNotice) bool {
+	return f.machine.Model().HasEnded(n.Name, f.planner.MarkLeaving(f.now, f.machine.Model(), n))
+}
+
 // rowsUpstream is an upstream that holds exactly the rows of its latest grant until that grant expires.
 type rowsUpstream struct {
 	name, address string
@@ -243,9 +248,9 @@
 	f := newRowsFleet(t)
 	a, b := newRowsUpstream("a", 1), newRowsUpstream("b", 2)
 	f.run(5*time.Second, a, b)
-	f.planner.MarkLeaving(f.now, f.machine.Model(), "a")
+	is.True(!f.leave(proto.LeaveNotice{Name: "a"}))
 	f.tick()
-	is.True(f.planner.MarkLeaving(f.now, f.machine.Model(), "a"))
+	is.True(f.leave(proto.LeaveNotice{Name: "a"}))
 	a.nextAnnounce = f.now + time.Hour
 	f.run(2*time.Second, a, b)
 	is.True(f.ownedCount(b) < 8)
@@ -307,7 +312,7 @@
 			case 3:
 				h.leaving = true
 			case 4:
-				f.planner.MarkLeaving(f.now, f.machine.Model(), h.name)
+				f.leave(proto.LeaveNotice{Name: h.name, Incarnation: uint64(r.IntN(2)) * h.incarnation})
 				h.nextAnnounce = f.now + time.Hour
 			case 5, 6:
 				f.elect()
--- a/internal/state/ranges.go
+++ b/internal/state/ranges.go
@@ -25,6 +25,13 @@
 type End struct {
 	Name        string `json:"name"`
 	Incarnation uint64 `json:"incarnation"`
+	// Presumed is true if the notice named no incarnation.
+	Presumed bool `json:"presumed,omitempty"`
+}
+
+// WithdrawEnd withdraws the presumed end of an upstream that has shown that it runs.
+type WithdrawEnd struct {
+	Name string `json:"name"`
 }
 
 // Assign makes an upstream the owner of a free or releasing range. It is rejected if the range no longer has Epoch.
@@ -167,14 +174,19 @@
 		}
 	}
 	s := m.model.WithoutUpstream(c.Name, index)
-	if u.LeavingSince > 0 {
+	if u.LeavingSince > 0 && !s.IsPresumedEnded(u.Name, u.Incarnation) {
 		s = s.WithEnded(u.Name, u.Incarnation, index)
 	}
 	return m.setModel(s)
 }
 
 func (m *Machine) end(index uint64, c End) Result {
-	s := m.model.WithEnded(c.Name, c.Incarnation, index)
+	var s *model.State
+	if c.Presumed {
+		s = m.model.WithPresumedEnd(c.Name, c.Incarnation, index)
+	} else {
+		s = m.model.WithEnded(c.Name, c.Incarnation, index)
+	}
 	if u, ok := s.Upstreams[c.Name]; ok && u.Incarnation <= c.Incarnation && u.LeavingSince == 0 {
 		u.LeavingSince = index
 		s = s.WithUpstream(u)
--- a/pkg/proto/proto.go
+++ b/pkg/proto/proto.go
@@ -81,6 +81,13 @@
 	Gone bool `json:"gone,omitempty"`
 }
 
+// LeaveNotice says that an upstream is about to exit.
+type LeaveNotice struct {
+	Name string `json:"name"`
+	// Incarnation is that of the process that sent the notice, or 0 if the notice doesn't say.
+	Incarnation uint64 `json:"incarnation,omitempty"`
+}
+
 // Row is an interval of key positions that an upstream holds. First and Last are inclusive.
 type Row struct {
 	First uint64 `json:"first"`
