platform: refuse reports that lack what every upstream says of itself

A report with the right born and a high Sequence shut out the upstream itself, also if it named a service that does not exist.

The soak's upstreams sent null for an empty Released; they send the empty list now.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -195,6 +195,9 @@
 // Announce handles an announcement received at the time now and returns the grant according to the committed state.
 func (p *Planner) Announce(now time.Duration, s *model.State, an proto.Announcement) (proto.Grant, *proto.Error) {
 	p.observe(s)
+	if err := p.completeRows(s, &an); err != nil {
+		return proto.Grant{}, err
+	}
 	info := model.Upstream{
 		Name: an.Name, Incarnation: an.Incarnation, Address: an.Address, DataCentre: an.DataCentre,
 		Service: an.Service, Slots: an.Slots, ChecksGrants: an.ChecksGrants,
@@ -231,14 +234,30 @@
 	return g, nil
 }
 
-// isForeign reports whether a process that is not known yet announces a service that does not exist. Nothing is sent to it,
-// and it proves nothing about the upstreams of its name or address.
+// completeRows adds the empty list to an announcement without one. Where upstreams list the rows that they hold, one of a keyed
+// service always sends a list, so that an announcement without it is none of its own.
+func (p *Planner) completeRows(s *model.State, an *proto.Announcement) *proto.Error {
+	if an.Rows != nil || !p.cfg.ReliableIncarnations {
+		return nil
+	}
+	if s.Services[an.Service].Keyed {
+		return proto.NotRun(proto.CodeBadRequest, http.StatusBadRequest, "announcement of %s lists no rows", an.Name)
+	}
+	an.Rows = &[]proto.Row{}
+	return nil
+}
+
+// isForeign reports whether an announcement names another service than the process belongs to, or a process that is not known
+// yet names one that does not exist. Nothing is sent to it, and it proves nothing about the upstreams of its name or address.
 func (p *Planner) isForeign(s *model.State, info model.Upstream) bool {
-	if _, exists := s.Services[info.Service]; exists || len(s.Services) == 0 || !p.cfg.ReliableIncarnations {
+	if !p.cfg.ReliableIncarnations {
 		return false
 	}
-	rec := p.upstreams[info.Name]
-	return rec == nil || rec.info.Incarnation != info.Incarnation
+	if rec := p.upstreams[info.Name]; rec != nil && rec.info.Incarnation == info.Incarnation {
+		return rec.info.Service != info.Service
+	}
+	_, exists := s.Services[info.Service]
+	return !exists && len(s.Services) > 0
 }
 
 // Regrant returns the grant for an announcement that was already handled, according to a state that has changed
@@ -246,7 +265,7 @@
 func (p *Planner) Regrant(now time.Duration, s *model.State, an proto.Announcement) proto.Grant {
 	p.observe(s)
 	rec := p.upstreams[an.Name]
-	if rec == nil || rec.info.Incarnation != an.Incarnation || rec.sequence != an.Sequence {
+	if rec == nil || rec.info.Incarnation != an.Incarnation || rec.sequence != an.Sequence || p.completeRows(s, &an) != nil {
 		return p.emptyGrant()
 	}
 	g := p.grant(now, s, rec, an)
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -360,9 +360,13 @@
 			held = append(held, r[:3])
 		}
 	}
+	released := u.released
+	if released == nil {
+		released = [][]any{}
+	}
 	body, err := json.Marshal(map[string]any{
 		"Service": u.service, "Address": u.address, "Zone": "z", "Version": "v1", "Slots": 4, "State": state,
-		"WarmupLeft": "0ms", "Sequence": u.sequence, "born": u.incarnation, "Holds": held, "Released": u.released,
+		"WarmupLeft": "0ms", "Sequence": u.sequence, "born": u.incarnation, "Holds": held, "Released": released,
 	})
 	target := u.heartbeatURL
 	u.sent = append(u.sent, body)
