poison: a report lifts a quarantine only if it was sent after the crash

A status report that arrived over 1 s after the crash of its sender counted as the proof that the sender is up, also if it had been sent before: reports may be seconds late.

A report proves that now only 15 s after the crash, when nothing sent before can be on its way. Considered: sequence numbers (they show the order of reports, not that one was sent after the crash) and answers of the upstream (a successor at its address may give them).

TestReportOfAnUpstreamLiftsTheQuarantine expected the faulty bound (a report after 2 s lifts, after 0.5 s doesn't); it now expects the same 16 s and 14 s after.

--- a/internal/owner/leave.go
+++ b/internal/owner/leave.go
@@ -11,9 +11,6 @@
 	"baobabreach/pkg/proto"
 )
 
-// maxMessageDelay is the longest time for which a message of an upstream may be on its way. Partitions hold messages up.
-const maxMessageDelay = 15 * time.Second
-
 // MarkLeaving handles the notice of an upstream that is about to exit. Once the state shows the returned incarnation as
 // ended, neither entry hosts nor the next leader use the upstream. What it still holds stays its own until its grant
 // expires.
@@ -28,7 +25,7 @@
 	switch {
 	case incarnation > 0:
 		p.ended.add(notice.Name, incarnation)
-	case rec == nil && now < p.presumptions[notice.Name].since+maxMessageDelay && s.Ended[notice.Name].Presumed > 0:
+	case rec == nil && now < p.presumptions[notice.Name].since+proto.MaxMessageDelay && s.Ended[notice.Name].Presumed > 0:
 		// The notice was sent before.
 		incarnation = s.Ended[notice.Name].Presumed
 	case rec == nil:
@@ -111,7 +108,7 @@
 	if !ok {
 		x.since = now
 	}
-	x.disproved = x.disproved || now >= x.since+maxMessageDelay
+	x.disproved = x.disproved || now >= x.since+proto.MaxMessageDelay
 	p.presumptions[an.Name] = x
 }
 
--- a/internal/poison/chains.go
+++ b/internal/poison/chains.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"baobabreach/pkg/proto"
 )
 
 const (
@@ -23,9 +25,6 @@
 	// and hostTolerance allows for the resolution of the times of one host.
 	maxReportDelay = 250 * time.Millisecond
 	hostTolerance  = 2 * time.Millisecond
-	// lateReportTime is how long after its end a report of a process may still be on its way. A later one proves that the
-	// process has not ended.
-	lateReportTime = time.Second
 	// maxChainRuns limits the runs that are kept for one content.
 	maxChainRuns = 16
 )
@@ -214,11 +213,12 @@
 	c.countChange(now, fingerprint, before)
 }
 
-// RecordReport removes the crash of a process that has reported at now and so has not ended. A process that reports may have
-// refused connections because of a cut. It returns true if content is no longer quarantined.
+// RecordReport removes the crash of a process whose report arrives at now and can't have been sent before the crash, so that
+// the process has not ended: it may have refused connections because of a cut. It returns true if content is no longer
+// quarantined.
 func (c *Chains) RecordReport(now time.Duration, p Process) bool {
 	crash, ok := c.crashed[p]
-	if !ok || now < crash.EndedAt+lateReportTime {
+	if !ok || now < crash.EndedAt+proto.MaxMessageDelay {
 		return false
 	}
 	delete(c.crashed, p)
--- a/internal/poison/chains_test.go
+++ b/internal/poison/chains_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -40,6 +41,14 @@
 	poisonCrashes     []time.Duration
 	harmless, refused int
 	idempotent        bool
+	// reportDelay is how late the reports of upstreams reach the leader, and reports holds those on their way.
+	reportDelay time.Duration
+	reports     []upstreamReport
+}
+
+type upstreamReport struct {
+	at      time.Duration
+	process poison.Process
 }
 
 type attempt struct {
@@ -155,9 +164,15 @@
 		}
 		if f.downUntil[u] == 0 && f.now >= f.reportedAt[u]+heartbeat {
 			f.reportedAt[u] = f.now
-			f.tracker.RecordReport(f.now, f.process(u))
+			f.reports = append(f.reports, upstreamReport{f.now + f.reportDelay, f.process(u)})
 		}
 	}
+	f.reports = slices.DeleteFunc(f.reports, func(r upstreamReport) bool {
+		if f.now >= r.at {
+			f.tracker.RecordReport(f.now, r.process)
+		}
+		return f.now >= r.at
+	})
 }
 
 func (f *fleet) endBroken(a attempt) {
@@ -268,6 +283,20 @@
 	}
 }
 
+// Guards against a quarantine that ends because reports that crashed upstreams had sent before arrive late.
+func TestLateReportsDoNotLiftTheQuarantine(t *testing.T) {
+	for _, delay := range []time.Duration{1500 * time.Millisecond, 4 * time.Second, 12 * time.Second} {
+		for seed := range uint64(10) {
+			f := newFleet(seed, 4, 12)
+			f.reportDelay = delay
+			f.play(60*time.Second, disturbances["none"], 4*time.Second)
+			if late := f.lateCrashes(); late > 3 {
+				t.Errorf("reports %v late, seed %d: %d crashes, %d late", delay, seed, len(f.poisonCrashes), late)
+			}
+		}
+	}
+}
+
 // Guards against harmless requests that are refused because upstreams ended or connections broke while they ran.
 func TestHarmlessContentIsNotRefused(t *testing.T) {
 	for name, disturb := range disturbances {
@@ -305,12 +334,12 @@
 	now := crashAfterCrash(tracker, time.Hour, 4)
 	is.Equal(len(tracker.List(now).Quarantined), 1)
 	version := tracker.Version(now)
-	is.True(!tracker.RecordReport(now+2*time.Second, poison.Process{Name: "u1", Incarnation: 1}))        // three are left
-	is.True(!tracker.RecordReport(now+500*time.Millisecond, poison.Process{Name: "u3", Incarnation: 1})) // may be late
-	is.True(!tracker.RecordReport(now+2*time.Second, poison.Process{Name: "u3", Incarnation: 2}))        // the next process
-	is.True(tracker.RecordReport(now+2*time.Second, poison.Process{Name: "u3", Incarnation: 1}))
-	is.Equal(len(tracker.List(now+2*time.Second).Quarantined), 0)
-	is.True(tracker.Version(now+2*time.Second) != version)
+	is.True(!tracker.RecordReport(now+16*time.Second, poison.Process{Name: "u1", Incarnation: 1})) // three are left
+	is.True(!tracker.RecordReport(now+14*time.Second, poison.Process{Name: "u3", Incarnation: 1})) // may be late
+	is.True(!tracker.RecordReport(now+16*time.Second, poison.Process{Name: "u3", Incarnation: 2})) // the next process
+	is.True(tracker.RecordReport(now+16*time.Second, poison.Process{Name: "u3", Incarnation: 1}))
+	is.Equal(len(tracker.List(now+16*time.Second).Quarantined), 0)
+	is.True(tracker.Version(now+16*time.Second) != version)
 }
 
 // Guards against crashing content that runs again after the leader was lost, and after its quarantine has ended.
--- a/pkg/proto/proto.go
+++ b/pkg/proto/proto.go
@@ -38,6 +38,8 @@
 	AnnounceInterval = 200 * time.Millisecond
 	// DriftMarginPercent bounds the difference between the clock rates of two hosts.
 	DriftMarginPercent = 2
+	// MaxMessageDelay is the longest time for which a message of an upstream may be on its way. Partitions hold messages up.
+	MaxMessageDelay = 15 * time.Second
 )
 
 // WithDrift lengthens d by the clock-drift margin.
