poison: run content with which several upstreams crashed on one of them at a time

Copies of a crashing request that are in flight together counted as one crash, because whatever ended their upstreams may have ended all of them.

Content with which two or more processes have crashed now runs with a permit of the leader: one run in the whole fleet at a time, others wait up to 300 ms and are refused as not run. Its crashes under a permit are consecutive by the leader's own order. A host that can't ask the leader runs it one by one. A survived run clears it. Content that has survived a run on a host in the last ten minutes is not isolated and needs five consecutive crashes: only so does a page that is always in flight stay served while all upstreams come and go.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -241,6 +241,10 @@
 		Report: func(ctx context.Context, r poison.RunReport) error {
 			return reportToLeader(ctx, l, peer.PathRuns, r)
 		},
+		Permit: func(ctx context.Context, q poison.RunPermitRequest) (bool, error) {
+			resp, err := peer.ReportToLeader[poison.RunPermitRequest, poison.PermitResponse](ctx, l, peer.PathPermitRun, renewTimeout, q)
+			return resp.Granted, err
+		},
 	})
 }
 
@@ -253,9 +257,12 @@
 	m := mux.NewRouter()
 	m.Handle(peer.PathAnnounce, peer.Handle(peer.MaxBodyBytes, r.handleAnnounce)).Methods(http.MethodPost)
 	m.Handle(peer.PathMarkLeaving, peer.Handle(peer.MaxBodyBytes, r.handleMarkLeaving)).Methods(http.MethodPost)
+	m.Handle(peer.PathMarkLeavingV1, peer.Handle(peer.MaxBodyBytes, r.handleLeavingName)).Methods(http.MethodPost)
 	m.Handle(peer.PathChange, peer.Handle(peer.MaxRaftBytes, r.handleChange)).Methods(http.MethodPost)
 	m.Handle(peer.PathLeaving, peer.Handle(peer.MaxBodyBytes, c.leaving)).Methods(http.MethodPost)
 	m.Handle(peer.PathRuns, peer.Handle(peer.MaxBodyBytes, c.runs)).Methods(http.MethodPost)
+	m.Handle(peer.PathRunsV1, peer.Handle(peer.MaxBodyBytes, c.runs)).Methods(http.MethodPost)
+	m.Handle(peer.PathPermitRun, peer.Handle(peer.MaxBodyBytes, c.permitRun)).Methods(http.MethodPost)
 	m.Handle(peer.PathItems, peer.Handle(peer.MaxBodyBytes, r.handleItems)).Methods(http.MethodPost)
 	return c.mountShared(m)
 }
--- a/internal/daemon/registry.go
+++ b/internal/daemon/registry.go
@@ -220,6 +220,11 @@
 	}
 }
 
+// handleLeavingName handles the notice of a replica of an earlier build, which has only the name.
+func (r Registry) handleLeavingName(ctx context.Context, name string) (struct{}, error) {
+	return r.handleMarkLeaving(ctx, proto.LeaveNotice{Name: name})
+}
+
 func (r Registry) handleChange(ctx context.Context, c model.Change) (struct{}, error) {
 	n, err := r.leaderNode()
 	if err != nil {
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -74,6 +74,9 @@
 	buffer *room.Buffer
 	// responses holds the responses of upstreams until the caller has its own.
 	responses []*pipe.Response
+	// permit is that to run isolated content, and permitWaits counts the pauses after which it was asked for again.
+	permit      permit
+	permitWaits int
 }
 
 // maxLoggedAttempts is the largest number of failed attempts in the log line of a request.
@@ -144,6 +147,7 @@
 	}
 	c.gate.cfg.Budget.RecordRequest(c.now(), c.service, c.gate.hostCount())
 	c.keyed = t.Services[c.service].Keyed
+	defer func() { c.gate.cfg.Crashes.endPermit(c.permit) }()
 	if c.keyed {
 		return c.runKeyed(ctx, r)
 	}
@@ -170,6 +174,13 @@
 			c.endAttempt(chosen, assign.ResultNeutral, pipe.Notice{}, 0)
 			return c.refuseStopping(ctx)
 		}
+		if !c.takePermit(ctx) {
+			c.endAttempt(chosen, assign.ResultNeutral, pipe.Notice{}, 0)
+			if !c.awaitPermit(ctx) {
+				return c.giveUp(ctx, proto.CodeQuarantined, reasonIsolated)
+			}
+			continue
+		}
 		resp, failure := c.send(ctx, r, chosen)
 		if failure == nil {
 			if !c.shouldRetryResponse(resp) {
--- a/internal/peer/leader.go
+++ b/internal/peer/leader.go
@@ -23,14 +23,21 @@
 	PathWatch       = "/control/v1/watch"
 	PathPropose     = "/control/v1/propose"
 	PathCrash       = "/control/v1/crash"
-	PathRuns        = "/control/v1/runs"
+	PathRuns        = "/control/v2/runs"
 	PathPermit      = "/control/v1/permit"
-	PathMarkLeaving = "/control/v1/depart"
+	PathPermitRun   = "/control/v1/permit-run"
+	PathMarkLeaving = "/control/v2/depart"
 	PathLeaving     = "/control/v1/leaving"
 	PathChange      = "/control/v1/change"
 	PathItems       = "/control/v1/items"
 )
 
+// Paths on which hosts of an earlier build send their messages.
+const (
+	PathRunsV1        = "/control/v1/runs"
+	PathMarkLeavingV1 = "/control/v1/depart"
+)
+
 // LeaderClient sends messages to the leader and follows leadership changes. It is safe for concurrent use.
 type LeaderClient struct {
 	client *http.Client
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -13,7 +13,9 @@
 const (
 	// VerdictRun means that the content may run on any upstream.
 	VerdictRun Verdict = "run"
-	// VerdictIsolate means that the content may run only with a permit for the upstream.
+	// VerdictSuspect means that the content is not sent to another upstream after a broken connection. Only Chains gives it.
+	VerdictSuspect Verdict = "suspect"
+	// VerdictIsolate means in addition that the content may run only with a permit.
 	VerdictIsolate Verdict = "isolate"
 	// VerdictRefuse means that the content is quarantined and must not run.
 	VerdictRefuse Verdict = "refuse"
--- a/internal/soak/crash.go
+++ b/internal/soak/crash.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -45,6 +46,10 @@
 	SameID bool
 	// NewQuery gives each request a query of its own.
 	NewQuery bool
+	// Copies is the number of requests that are sent at once, one if it is 0, and Interval the time until the next ones,
+	// crashInterval if it is 0.
+	Copies   int
+	Interval time.Duration
 	// Disturb is called halfway, or not at all if it is nil.
 	Disturb func(r *Run) error
 }
@@ -109,9 +114,16 @@
 				}
 			}
 			hosts := r.fleet.EntryHosts()
-			status := r.sendCrashing(ctx, c, hosts[i%len(hosts)], crash, fmt.Sprintf("crash-%d", i))
-			r.recordEvent("crashing request %d to %s: %d", i, hosts[i%len(hosts)].Name, status)
-			time.Sleep(crashInterval)
+			var copies sync.WaitGroup
+			for k := range max(1, crash.Copies) {
+				h := hosts[(i+k)%len(hosts)]
+				copies.Go(func() {
+					status := r.sendCrashing(ctx, c, h, crash, fmt.Sprintf("crash-%d-%d", i, k))
+					r.recordEvent("crashing request %d, copy %d, to %s: %d", i, k, h.Name, status)
+				})
+			}
+			copies.Wait()
+			time.Sleep(cmp.Or(crash.Interval, crashInterval))
 		}
 		all, late := recorder.counts()
 		answered, failed := r.checker.Counts()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -223,6 +223,14 @@
 			Name: "upstreams fall silent", Method: http.MethodPost, Service: "orders", Duration: 24 * time.Second,
 			End: soak.CrashSilent,
 		},
+		{
+			Name: "four copies", Method: http.MethodGet, Service: "orders", Duration: 24 * time.Second, Copies: 4,
+			Interval: 4 * time.Second,
+		},
+		{
+			Name: "four copies, not idempotent, leader killed", Method: http.MethodPost, Service: "orders",
+			Duration: 24 * time.Second, Copies: 4, Interval: 4 * time.Second, Disturb: (*soak.Run).KillLeader,
+		},
 		{
 			Name: "all daemons killed", Method: http.MethodGet, Service: "orders", Duration: 20 * time.Second,
 			Disturb: (*soak.Run).RestartAll,
