--- a/internal/gate/crash.go
+++ b/internal/gate/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +22,8 @@
 	crashReportPause   = 200 * time.Millisecond
 	// maxPendingRuns limits the runs that wait for a report or for their upstream to show whether it has ended.
 	maxPendingRuns = 512
+	// secondProbeDelay is the time between the two probes of an upstream that may have ended during an isolated run.
+	secondProbeDelay = 100 * time.Millisecond
 	// replacedTime is how long after a run without a response the end of its upstream is put down to the run.
 	replacedTime = 6 * time.Second
 )
@@ -196,10 +199,15 @@
 
 // probe decides whether the runs of an upstream whose connections broke have crashed it.
 func (g *CrashGuard) probe(u model.Upstream) {
+	p := processOf(u)
 	liveness := g.cfg.Probe(context.Background(), u.Address)
+	if liveness != pipe.LivenessRefused && g.probesIsolatedRun(p) {
+		// A process that ends may close its connections before its listener. The next run of the content waits for the result.
+		time.Sleep(secondProbeDelay)
+		liveness = g.cfg.Probe(context.Background(), u.Address)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	p := processOf(u)
 	for _, r := range g.probing[p] {
 		g.cfg.Log.Warn("connection broke during a request", slog.String("request", r.requestID), slog.Any("content", r.contents),
 			slog.String("upstream", u.Name), slog.Uint64("incarnation", u.Incarnation), slog.String("address", u.Address),
@@ -214,6 +222,13 @@
 	delete(g.probing, p)
 }
 
+// probesIsolatedRun reports whether one of the runs that wait for the result of a probe has a permit.
+func (g *CrashGuard) probesIsolatedRun(p poison.Process) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.ContainsFunc(g.probing[p], func(r run) bool { return r.permit.holder != "" })
+}
+
 // addCrash records the crash of an upstream during a run. The caller holds mu.
 func (g *CrashGuard) addCrash(r run) {
 	g.stats.Crashes++
