node: a leader whose lease has lapsed names itself

Between the end of its lease and its step-down a leader refused all calls and named no leader, so hosts took the next replica for the leader, also one that could not be reached, and found the leader again only after timeouts.

The leader now names itself until it steps down, at most ElectionMax after the last answers of a majority; hosts ask it again after the usual pause. Replicas that serve operators and upstreams still wait in that case.

--- a/internal/daemon/registry.go
+++ b/internal/daemon/registry.go
@@ -58,7 +58,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	if n := r.node(); n != nil && peer.AsError(err).Leader == "" {
+	if n := r.node(); n != nil && r.otherLeader(err) == "" {
 		n.AwaitLeader(ctx)
 		// Jitter, so that the calls that have waited do not reach the new leader together.
 		select {
@@ -70,14 +70,23 @@
 			return resp, err
 		}
 	}
-	leader := peer.AsError(err).Leader
-	if leader == "" || leader == r.cfg.Advertise {
+	leader := r.otherLeader(err)
+	if leader == "" {
 		return resp, err
 	}
 	r.leader.SetLeader(leader)
 	return peer.CallLeader[Q, R](ctx, r.leader, path, timeout, q)
 }
 
+// otherLeader returns the address of the leader that an error names, or "" if it names none or this replica, whose lease has
+// lapsed.
+func (r Registry) otherLeader(err error) string {
+	if leader := peer.AsError(err).Leader; leader != r.cfg.Advertise {
+		return leader
+	}
+	return ""
+}
+
 // Log returns the log of the registry.
 func (r Registry) Log() *slog.Logger { return r.log }
 
--- a/internal/daemon/renew.go
+++ b/internal/daemon/renew.go
@@ -48,13 +48,13 @@
 func (r *renewer) run(ctx context.Context) {
 	redirected := false
 	for ctx.Err() == nil {
-		wait := r.interval
+		wait, asked := r.interval, r.leader.Leader()
 		err := r.renew(ctx)
 		r.trackLeader(err)
 		switch {
 		case err == nil:
 			redirected = false
-		case !redirected && hasLeaderHint(err):
+		case !redirected && namesOtherLeader(err, asked):
 			redirected = true
 		default:
 			redirected = false
@@ -69,10 +69,10 @@
 	}
 }
 
-// hasLeaderHint reports whether the renewal was refused by a replica that knows the leader.
-func hasLeaderHint(err error) bool {
+// namesOtherLeader reports whether the renewal was refused by a replica that knows another leader than the one asked.
+func namesOtherLeader(err error, asked string) bool {
 	e := peer.AsError(err)
-	return e.Code == proto.CodeNotLeader && e.Leader != ""
+	return e.Code == proto.CodeNotLeader && e.Leader != "" && e.Leader != asked
 }
 
 // fullTableTimeout allows for the transfer of a whole table over a slow link while other hosts start as well.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -479,7 +479,9 @@
 
 func (n *Node) notLeader() *proto.Error {
 	e := proto.NotRun(proto.CodeNotLeader, http.StatusMisdirectedRequest, "host %s is not the leader", n.cfg.Self.Host)
-	if s := n.status.Load(); s != nil && s.Leader.ID != n.cfg.Self.ID {
+	// A leader whose lease has lapsed names itself until it steps down. Hosts that looked for another one would find this one
+	// again only later.
+	if s := n.status.Load(); s != nil {
 		e.Leader = s.Leader.Address
 	}
 	return e
