owner: keep the time of a notice in the replicated state; soak: hold up control messages

A process that was shut out by a late notice of its predecessor had to wait 15 s again after each change of the leader, which knew only that the end was presumed. The state now has the time of the notice by the leader's wall clock.

The schedule of late reports now also cuts upstreams off before they leave, starts them again under their ID while their notice is held up and arrives once or twice, and lets another writer report about running ones.

--- a/internal/model/ended.go
+++ b/internal/model/ended.go
@@ -8,6 +8,8 @@
 	Incarnation uint64 `json:"incarnation"`
 	// Presumed is the highest incarnation that counts as ended because of a notice that named none. It is 0 without one.
 	Presumed uint64 `json:"presumed,omitempty"`
+	// PresumedAtMs is when that notice arrived, by the leader's wall clock in milliseconds since the Unix epoch.
+	PresumedAtMs int64 `json:"presumed_at_ms,omitempty"`
 	// Since is the version at which the end was recorded.
 	Since uint64 `json:"since"`
 }
@@ -21,16 +23,20 @@
 	if known && incarnation <= e.Incarnation {
 		return s
 	}
-	return s.withEndedEntry(name, EndedUpstream{Incarnation: incarnation, Presumed: e.Presumed, Since: version})
+	return s.withEndedEntry(name, EndedUpstream{
+		Incarnation: incarnation, Presumed: e.Presumed, PresumedAtMs: e.PresumedAtMs, Since: version,
+	})
 }
 
-// WithPresumedEnd is like WithEnded for a notice that named no incarnation. It may have come from an earlier process, so
-// WithoutPresumedEnd can withdraw it.
-func (s *State) WithPresumedEnd(name string, incarnation, version uint64) *State {
+// WithPresumedEnd is like WithEnded for a notice that named no incarnation and arrived at atMs. It may have come from an earlier
+// process, so WithoutPresumedEnd can withdraw it.
+func (s *State) WithPresumedEnd(name string, incarnation, version uint64, atMs int64) *State {
 	if s.HasEnded(name, incarnation) {
 		return s
 	}
-	return s.withEndedEntry(name, EndedUpstream{Incarnation: s.Ended[name].Incarnation, Presumed: incarnation, Since: version})
+	return s.withEndedEntry(name, EndedUpstream{
+		Incarnation: s.Ended[name].Incarnation, Presumed: incarnation, PresumedAtMs: atMs, Since: version,
+	})
 }
 
 // WithoutPresumedEnd returns a copy in which only the incarnations have ended that are certain to have.
@@ -39,7 +45,7 @@
 	if e.Presumed == 0 {
 		return s
 	}
-	e.Presumed = 0
+	e.Presumed, e.PresumedAtMs = 0, 0
 	if e.Incarnation > 0 {
 		return s.withEndedEntry(name, e)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -419,7 +419,9 @@
 		return
 	}
 	if n.planner == nil || n.plannerTerm != n.raft.Term() {
-		n.planner, n.plannerTerm = owner.New(n.cfg.Planner, n.cfg.Clock()), n.raft.Term()
+		cfg := n.cfg.Planner
+		cfg.ElectedAtWallMs = n.cfg.WallMs()
+		n.planner, n.plannerTerm = owner.New(cfg, n.cfg.Clock()), n.raft.Term()
 		n.suspects = newSuspects(n.plannerTerm)
 		n.suspects.adopt(n.cfg.Clock(), n.cfg.WallMs(), n.state.Model().Quarantined)
 		n.published = nil
--- a/internal/owner/leave.go
+++ b/internal/owner/leave.go
@@ -92,12 +92,17 @@
 
 // presumption describes the notice because of which an upstream is presumed to have ended.
 type presumption struct {
-	// since is when the notice arrived, or when this leader first heard of the upstream after it.
+	// since is when the notice arrived.
 	since time.Duration
 	// disproved is true once an announcement has arrived that was sent after the notice.
 	disproved bool
 }
 
+// wallMs returns the leader's wall clock at a time, in milliseconds since the Unix epoch. Steps of that clock have no effect.
+func (p *Planner) wallMs(at time.Duration) int64 {
+	return p.cfg.ElectedAtWallMs + (at - p.electedAt).Milliseconds()
+}
+
 // checkPresumption withdraws the presumed end of a process that has announced itself when its messages from before the notice
 // could no longer be on their way.
 func (p *Planner) checkPresumption(now time.Duration, s *model.State, an proto.Announcement) {
@@ -106,7 +111,8 @@
 	}
 	x, ok := p.presumptions[an.Name]
 	if !ok {
-		x.since = now
+		elapsed := time.Duration(p.wallMs(now)-s.Ended[an.Name].PresumedAtMs) * time.Millisecond
+		x.since = now - min(max(0, elapsed), proto.MaxMessageDelay)
 	}
 	x.disproved = x.disproved || now >= x.since+proto.MaxMessageDelay
 	p.presumptions[an.Name] = x
@@ -122,7 +128,9 @@
 			cs = append(cs, state.Command{End: &state.End{Name: name, Incarnation: x.Incarnation}})
 		}
 		if !s.HasEnded(name, x.Presumed) {
-			cs = append(cs, state.Command{End: &state.End{Name: name, Incarnation: x.Presumed, Presumed: true}})
+			cs = append(cs, state.Command{End: &state.End{
+				Name: name, Incarnation: x.Presumed, Presumed: true, AtMs: p.wallMs(p.presumptions[name].since),
+			}})
 		}
 		if len(cs) == n {
 			delete(p.ended, name)
--- a/internal/owner/leave_test.go
+++ b/internal/owner/leave_test.go
@@ -107,7 +107,11 @@
 					f.run(rowsAnnounceInterval, a, next)
 					is.True(f.ownedCount(next) > 0)
 				}
-				f.run(25*time.Second, a, next)
+				f.run(9*time.Second, a, next)
+				if newLeader {
+					f.elect()
+				}
+				f.run(9*time.Second, a, next)
 				is.True(f.ownedCount(next) > 0)
 				is.Equal(f.ownedCount(a)+f.ownedCount(next), 8)
 			})
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -45,6 +45,8 @@
 	// FirstAssignmentDelay delays the first assignment of a service after the latest new upstream announced itself, so
 	// that the others can announce themselves too.
 	FirstAssignmentDelay time.Duration
+	// ElectedAtWallMs is the leader's wall clock at its election, in milliseconds since the Unix epoch.
+	ElectedAtWallMs int64
 	// History is the change history of the replica. Nil selects an empty one.
 	History *History
 }
@@ -136,6 +138,7 @@
 // use.
 type Planner struct {
 	cfg        Config
+	electedAt  time.Duration
 	safeguards safeguards
 	upstreams  map[string]*upstreamRecord
 	hosts      map[string]*entryHost
@@ -177,7 +180,7 @@
 func newPlanner(cfg Config, guards safeguards, now time.Duration) *Planner {
 	cfg = cfg.withDefaults()
 	p := &Planner{
-		cfg: cfg, safeguards: guards, upstreams: map[string]*upstreamRecord{}, hosts: map[string]*entryHost{},
+		cfg: cfg, electedAt: now, safeguards: guards, upstreams: map[string]*upstreamRecord{}, hosts: map[string]*entryHost{},
 		loads: newLoadTracker(), limits: limit.NewAllocator(now + guards.margin(max(cfg.GrantTTL, cfg.LeaseTTL))),
 		ended: endedUpstreams{}, presumptions: map[string]presumption{}, nextOwner: map[uint64]string{}, arrivals: map[string]timeSpan{}, history: cfg.History,
 	}
--- a/internal/owner/rows_test.go
+++ b/internal/owner/rows_test.go
@@ -45,7 +45,7 @@
 func (f *rowsFleet) elect() {
 	f.planner = owner.New(owner.Config{
 		MaxMoves: 4, GrantTTL: rowsTTL, AnnounceInterval: rowsAnnounceInterval, ReliableIncarnations: true,
-		SlowAnnouncements: true, FirstAssignmentDelay: rowsAnnounceInterval,
+		SlowAnnouncements: true, FirstAssignmentDelay: rowsAnnounceInterval, ElectedAtWallMs: f.now.Milliseconds(),
 	}, f.now)
 }
 
--- a/internal/soak/reports.go
+++ b/internal/soak/reports.go
@@ -20,10 +20,12 @@
 )
 
 // RunLateReports lets upstreams leave while replicas are stopped or killed, and delivers reports from before the leave late,
-// once more and in any order.
+// once more and in any order. Some upstreams are cut off before they leave, some start again under their ID while their
+// notice is held up, and another writer reports about others.
 func RunLateReports(cfg Config, seed uint64) (*Run, []string, error) {
 	r := newRun(cfg, seed)
 	return r.run(func(context.Context) error {
+		defer r.background.Wait()
 		for range lateRounds {
 			if err := r.lateRound(); err != nil {
 				return err
@@ -44,16 +46,26 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	sent := u.reports()
-	if r.random.IntN(2) == 0 {
+	switch r.random.IntN(4) {
+	case 0:
 		r.recordEvent("%s leaves", u.id)
 		if !u.Leave() {
 			return nil
 		}
 		time.AfterFunc(serveAfterLeave, u.Kill)
-	} else {
+	case 1:
 		r.recordEvent("%s drains", u.id)
 		u.Drain()
+	case 2:
+		if !r.leaveAfterCut(u) {
+			return nil
+		}
+	default:
+		if err := r.restartDuringNotice(u); err != nil {
+			return err
+		}
 	}
+	r.deliverOddReports()
 	for range lateReports {
 		body, delay := sent[r.random.IntN(len(sent))], time.Duration(r.random.Int64N(int64(maxLateness)))
 		registry := u.group.registries[r.random.IntN(len(u.group.registries))]
@@ -97,10 +109,11 @@
 	return false
 }
 
-func (u *Upstream) hasLeft() bool {
+// reportsNoMore reports whether the upstream has left or was cut off.
+func (u *Upstream) reportsNoMore() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.left
+	return u.left || u.cutOff
 }
 
 func (u *Upstream) reports() [][]byte {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -37,6 +37,8 @@
 	// Events lists the injected faults, to be printed if the run fails.
 	Events    []string
 	startedAt time.Time
+	// background holds what goes on beside the faults and ends before the run.
+	background sync.WaitGroup
 }
 
 const (
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -95,8 +96,12 @@
 	killed, draining bool
 	// left is true once the upstream announced that it leaves without draining. It goes on to serve and reports no more.
 	left bool
+	// cutOff is true if the upstream reports no more, while it serves and holds what it was granted.
+	cutOff bool
 	// sent holds the latest reports.
 	sent [][]byte
+	// executions counts the requests that the upstream has executed.
+	executions atomic.Int64
 	// silent is true if the upstream answers no request.
 	silent       bool
 	drainAckedAt time.Time
@@ -305,6 +310,7 @@
 		}
 		u.group.checkExclusive(u, key)
 	}
+	u.executions.Add(1)
 	u.group.checker.RecordExecution(id, u.id, r.Method == http.MethodPost)
 	if crash := u.group.crashFunc(); crash != nil && strings.HasSuffix(r.URL.Path, crashTarget) {
 		crash(u)
@@ -322,7 +328,7 @@
 
 func (u *Upstream) reportLoop() {
 	registryIndex := 0
-	for u.ctx.Err() == nil && !u.hasLeft() {
+	for u.ctx.Err() == nil && !u.reportsNoMore() {
 		delay := heartbeatInterval
 		ok := u.report(&registryIndex)
 		u.mu.Lock()
--- a/internal/state/ranges.go
+++ b/internal/state/ranges.go
@@ -25,8 +25,10 @@
 type End struct {
 	Name        string `json:"name"`
 	Incarnation uint64 `json:"incarnation"`
-	// Presumed is true if the notice named no incarnation.
-	Presumed bool `json:"presumed,omitempty"`
+	// Presumed is true if the notice named no incarnation, and AtMs is then when it arrived, by the leader's wall clock in
+	// milliseconds since the Unix epoch.
+	Presumed bool  `json:"presumed,omitempty"`
+	AtMs     int64 `json:"at_ms,omitempty"`
 }
 
 // WithdrawEnd withdraws the presumed end of an upstream that has shown that it runs.
@@ -183,7 +185,7 @@
 func (m *Machine) end(index uint64, c End) Result {
 	var s *model.State
 	if c.Presumed {
-		s = m.model.WithPresumedEnd(c.Name, c.Incarnation, index)
+		s = m.model.WithPresumedEnd(c.Name, c.Incarnation, index, c.AtMs)
 	} else {
 		s = m.model.WithEnded(c.Name, c.Incarnation, index)
 	}
