--- a/internal/owner/leave.go
+++ b/internal/owner/leave.go
@@ -120,7 +120,7 @@
 
 // recordEnds returns the commands that record in the state which upstreams have ended, and which have not after all. The next
 // leader knows nothing else of an upstream that was not registered.
-func (p *Planner) recordEnds(s *model.State) []state.Command {
+func (p *Planner) recordEnds(now time.Duration, s *model.State) []state.Command {
 	var cs []state.Command
 	for _, name := range sortedKeys(p.ended) {
 		n, x := len(cs), p.ended[name]
@@ -137,10 +137,13 @@
 		}
 	}
 	for _, name := range sortedKeys(p.presumptions) {
+		x, pending := p.presumptions[name], p.ended[name].Presumed > 0
 		switch {
-		case s.Ended[name].Presumed == 0 && p.ended[name].Presumed == 0:
+		case pending:
+		case s.Ended[name].Presumed == 0, !x.disproved && now >= x.since+proto.MaxMessageDelay:
+			// The state has the time of the notice.
 			delete(p.presumptions, name)
-		case p.presumptions[name].disproved:
+		case x.disproved:
 			cs = append(cs, state.Command{WithdrawEnd: &state.WithdrawEnd{Name: name}})
 		}
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -471,7 +471,7 @@
 	// first in the batch, so that a releasing range of a lost owner gets its new owner in the same commit.
 	membership := p.membershipChanges(now, s)
 	p.loads.refresh(now, p.hosts)
-	return slices.Concat(p.planMoves(now, s), membership, p.recordEnds(s))
+	return slices.Concat(p.planMoves(now, s), membership, p.recordEnds(now, s))
 }
 
 // observe records a new version of the state.
--- a/internal/poison/chains.go
+++ b/internal/poison/chains.go
@@ -116,9 +116,6 @@
 func (c *Chains) Record(now time.Duration, crash Crash) []Conviction {
 	c.expire(now)
 	c.remember(crash)
-	for _, f := range crash.Survived {
-		c.survivors.add(now, f)
-	}
 	var out []Conviction
 	for _, f := range crash.Fingerprints {
 		s := c.contents[f]
@@ -128,6 +125,9 @@
 			c.contents[f] = s
 		}
 		before, _ := c.Check(now, f)
+		if slices.Contains(crash.Survived, f) {
+			c.survivors.add(now, f)
+		}
 		s.add(crash)
 		s.expiresAt = max(s.expiresAt, now+WatchTTL)
 		c.nextExpiry = min(c.nextExpiry, s.expiresAt)
