daemon: enforce HeaderTimeout and IdleTimeout of the configuration

Both were checked for their form and dropped: hosts gave each caller 5 s for the headers of a request and kept idle connections for 30 s, whatever the operator had set.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -129,8 +129,8 @@
 	return netip.AddrPortFrom(a.Addr(), a.Port()+1).String()
 }
 
-// NewGateway returns the application of a daemon on a hosting platform, whose interfaces adapter defines. cfg must have been
-// validated and have a Gateway.
+// NewGateway returns the application of a daemon on a hosting platform, whose interfaces adapter defines. cfg must have
+// been validated and have a Gateway.
 func NewGateway(cfg config.Config, dial DialFunc, adapter Adapter) *fx.App {
 	return fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
@@ -242,7 +242,8 @@
 			return reportToLeader(ctx, l, peer.PathRuns, r)
 		},
 		Permit: func(ctx context.Context, q poison.RunPermitRequest) (bool, error) {
-			resp, err := peer.ReportToLeader[poison.RunPermitRequest, poison.PermitResponse](ctx, l, peer.PathPermitRun, renewTimeout, q)
+			resp, err := peer.ReportToLeader[poison.RunPermitRequest, poison.PermitResponse](
+				ctx, l, peer.PathPermitRun, renewTimeout, q)
 			return resp.Granted, err
 		},
 	})
@@ -326,8 +327,8 @@
 	server        *http.Server
 }
 
-// startGatewayListeners opens the addresses that the daemon needs as an entry host, a replica or both. During a shutdown it
-// drains callers before it closes the other addresses.
+// startGatewayListeners opens the addresses that the daemon needs as an entry host, a replica or both. During a
+// shutdown it drains callers before it closes the other addresses.
 func startGatewayListeners(lc fx.Lifecycle, p gatewayParams) {
 	log := logs.ForComponent(p.Log, "listen")
 	c := p.control()
@@ -357,6 +358,11 @@
 	addServer("registry", p.Config.Gateway.Registry,
 		room.Handler(messages, peer.MaxRaftBytes, p.Adapter.Registry(p.Registry)))
 	callers := newCallerServer(p.Config, addServer(callerListener, p.Config.Caller, p.Gate), p.Drain, p.Clock, log)
+	callers.server.ReadHeaderTimeout, callers.server.IdleTimeout = maxCallerIdleTime, maxCallerIdleTime
+	callers.bounds = func() model.Bounds {
+		t, _ := p.View.Table()
+		return t.Bounds
+	}
 	ready := addServer("ready", p.Config.Gateway.Ready, p.Adapter.Ready(p.Gate.Ready))
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
@@ -391,8 +397,8 @@
 	})
 }
 
-// gatewayIdleTimeout limits how long a connection may be idle. It is longer than callers of the platform keep idle
-// connections for reuse.
+// gatewayIdleTimeout limits how long a connection may be idle, unless the configuration says how long those of callers
+// may.
 const gatewayIdleTimeout = 30 * time.Second
 
 // startGate starts the lease and table renewal of an entry host and the periodic cleanup of its connection pool and gate.
--- a/internal/daemon/registry.go
+++ b/internal/daemon/registry.go
@@ -78,8 +78,8 @@
 	return peer.CallLeader[Q, R](ctx, r.leader, path, timeout, q)
 }
 
-// otherLeader returns the address of the leader that an error names, or "" if it names none or this replica, whose lease has
-// lapsed.
+// otherLeader returns the address of the leader that an error names, or "" if it names none or this replica, whose
+// lease has lapsed.
 func (r Registry) otherLeader(err error) string {
 	if leader := peer.AsError(err).Leader; leader != r.cfg.Advertise {
 		return leader
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -20,7 +20,8 @@
 )
 
 const (
-	// defaultTimeout is the longest time for a request; the deadline of the caller or the timeout of the route may shorten it.
+	// defaultTimeout is the longest time for a request; the deadline of the caller or the timeout of the route may shorten
+	// it.
 	defaultTimeout = 30 * time.Second
 	// ownerWaitShare is the share of the latency objective for which a keyed request may wait for an owner that accepts it.
 	ownerWaitShare = 0.75
@@ -50,8 +51,8 @@
 	tableVersion uint64
 	upstream     string
 	tried        map[string]bool
-	// questions is the number of questions to brokers, unanswered those without an answer in time, and askingTime the time that
-	// all of them took.
+	// questions is the number of questions to brokers, unanswered those without an answer in time, and askingTime the time
+	// that all of them took.
 	questions, unanswered int
 	askingTime            time.Duration
 	sends                 int
@@ -98,8 +99,8 @@
 
 func (c *call) now() time.Duration { return c.gate.cfg.Clock() }
 
-// withCallerDeadline sets c.deadline to the deadline of the caller, at most defaultTimeout from now, and applies it to the
-// context of the request.
+// withCallerDeadline sets c.deadline to the deadline of the caller, at most defaultTimeout from now, and applies it to
+// the context of the request.
 func (c *call) withCallerDeadline(r *http.Request) (context.Context, context.CancelFunc) {
 	timeout := defaultTimeout
 	if ms, err := strconv.ParseFloat(r.Header.Get(c.gate.cfg.Names.Deadline), 64); err == nil && ms > 0 {
--- a/internal/gate/crash_test.go
+++ b/internal/gate/crash_test.go
@@ -129,8 +129,8 @@
 	})
 }
 
-// Guards against isolated content that runs more than once at a time on a host, also if the leader does not answer, and that is
-// not run at all then.
+// Guards against isolated content that runs more than once at a time on a host, also if the leader does not answer, and
+// that is not run at all then.
 func TestIsolatedContentRunsOnceAtATime(t *testing.T) {
 	for name, leader := range map[string]func(poison.RunPermitRequest) (bool, error){
 		"leader":    func(poison.RunPermitRequest) (bool, error) { return true, nil },
--- a/internal/gate/isolation.go
+++ b/internal/gate/isolation.go
@@ -9,13 +9,14 @@
 )
 
 const (
-	// permitWait is the longest time for which a request waits for the permit to run isolated content, and permitPause the time
-	// between two attempts to get it.
+	// permitWait is the longest time for which a request waits for the permit to run isolated content, and permitPause the
+	// time between two attempts to get it.
 	permitWait  = 300 * time.Millisecond
 	permitPause = 50 * time.Millisecond
 	// maxPermitWaits limits the requests that wait for a permit.
 	maxPermitWaits = 64
-	// maxSurvivorBytes is the size of the longest body whose content is remembered as harmless while no content is suspected.
+	// maxSurvivorBytes is the size of the longest body whose content is remembered as harmless while no content is
+	// suspected.
 	maxSurvivorBytes = 64 << 10
 )
 
@@ -40,8 +41,8 @@
 	ended []string
 }
 
-// permitRun returns the permit to run the isolated ones of the contents, for at most ttl. It returns false if another run of one
-// of them is in progress, here or at another host.
+// permitRun returns the permit to run the isolated ones of the contents, for at most ttl. It returns false if another
+// run of one of them is in progress, here or at another host.
 func (g *CrashGuard) permitRun(ctx context.Context, contents []string, ttl time.Duration) (permit, bool) {
 	g.mu.Lock()
 	isolated := g.monitor.Isolated(g.cfg.Clock(), contents)
--- a/internal/model/ended.go
+++ b/internal/model/ended.go
@@ -28,8 +28,8 @@
 	})
 }
 
-// WithPresumedEnd is like WithEnded for a notice that named no incarnation and arrived at atMs. It may have come from an earlier
-// process, so WithoutPresumedEnd can withdraw it.
+// WithPresumedEnd is like WithEnded for a notice that named no incarnation and arrived at atMs. It may have come from
+// an earlier process, so WithoutPresumedEnd can withdraw it.
 func (s *State) WithPresumedEnd(name string, incarnation, version uint64, atMs int64) *State {
 	if s.HasEnded(name, incarnation) {
 		return s
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -481,8 +481,8 @@
 
 func (n *Node) notLeader() *proto.Error {
 	e := proto.NotRun(proto.CodeNotLeader, http.StatusMisdirectedRequest, "host %s is not the leader", n.cfg.Self.Host)
-	// A leader whose lease has lapsed names itself until it steps down. Hosts that looked for another one would find this one
-	// again only later.
+	// A leader whose lease has lapsed names itself until it steps down. Hosts that looked for another one would find this
+	// one again only later.
 	if s := n.status.Load(); s != nil {
 		e.Leader = s.Leader.Address
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -147,8 +147,8 @@
 	}
 }
 
-// Guards against hosts that leave a leader because its lease has lapsed for a moment, and look for another one for seconds
-// (clc-gateway-grown, scale-1).
+// Guards against hosts that leave a leader because its lease has lapsed for a moment, and look for another one for
+// seconds (clc-gateway-grown, scale-1).
 func TestLeaderWithoutALeaseNamesItself(t *testing.T) {
 	is := is.New(t)
 	var n atomic.Pointer[node.Node]
--- a/internal/owner/late_test.go
+++ b/internal/owner/late_test.go
@@ -37,8 +37,8 @@
 	is.Equal(f.ownedCount(a)+f.ownedCount(b), 8)
 }
 
-// Guards against the notice of an upstream that leaves ending its grant at once, because a late announcement, the only one
-// that the new leader knows, lists no keys.
+// Guards against the notice of an upstream that leaves ending its grant at once, because a late announcement, the only
+// one that the new leader knows, lists no keys.
 func TestLateAnnouncementDoesNotEndGrantOfDepartedUpstream(t *testing.T) {
 	is := is.New(t)
 	f := newRowsFleet(t)
@@ -164,8 +164,8 @@
 	is.True(!s.HasEnded("u903", 1))
 }
 
-// Guards against keys that two late announcements give back, one from the time of an earlier grant of the same keys and one
-// from after it: they seem to show that the upstream has the present grant and gave it back.
+// Guards against keys that two late announcements give back, one from the time of an earlier grant of the same keys and
+// one from after it: they seem to show that the upstream has the present grant and gave it back.
 func TestLateAnnouncementsOfAnEarlierGrantGiveNothingBack(t *testing.T) {
 	is := is.New(t)
 	f := newRowsFleet(t)
--- a/internal/owner/leave.go
+++ b/internal/owner/leave.go
@@ -16,8 +16,8 @@
 // expires.
 //
 // A notice that names no incarnation may have been held up, so that a later process of the name runs by now, and so may
-// announcements from before the notice. It is taken for the notice of the known process, or of any if there is none, until
-// that process has announced itself for longer than a message can be on its way.
+// announcements from before the notice. It is taken for the notice of the known process, or of any if there is none,
+// until that process has announced itself for longer than a message can be on its way.
 func (p *Planner) MarkLeaving(now time.Duration, s *model.State, notice proto.LeaveNotice) (incarnation uint64) {
 	p.observe(s)
 	rec := p.upstreams[notice.Name]
@@ -77,8 +77,8 @@
 	return u.Incarnation <= max(x.Incarnation, x.Presumed) || s.HasEnded(u.Name, u.Incarnation)
 }
 
-// answerEnded answers an announcement of a process that is known or presumed to have ended. Only the notice that it leaves
-// is acknowledged.
+// answerEnded answers an announcement of a process that is known or presumed to have ended. Only the notice that it
+// leaves is acknowledged.
 func (p *Planner) answerEnded(now time.Duration, s *model.State, an proto.Announcement) (proto.Grant, *proto.Error) {
 	if an.Draining || an.Gone {
 		g := p.emptyGrant()
@@ -98,13 +98,14 @@
 	disproved bool
 }
 
-// wallMs returns the leader's wall clock at a time, in milliseconds since the Unix epoch. Steps of that clock have no effect.
+// wallMs returns the leader's wall clock at a time, in milliseconds since the Unix epoch. Steps of that clock have no
+// effect.
 func (p *Planner) wallMs(at time.Duration) int64 {
 	return p.cfg.ElectedAtWallMs + (at - p.electedAt).Milliseconds()
 }
 
-// checkPresumption withdraws the presumed end of a process that has announced itself when its messages from before the notice
-// could no longer be on their way.
+// checkPresumption withdraws the presumed end of a process that has announced itself when its messages from before the
+// notice could no longer be on their way.
 func (p *Planner) checkPresumption(now time.Duration, s *model.State, an proto.Announcement) {
 	if !s.IsPresumedEnded(an.Name, an.Incarnation) {
 		return
@@ -118,8 +119,8 @@
 	p.presumptions[an.Name] = x
 }
 
-// recordEnds returns the commands that record in the state which upstreams have ended, and which have not after all. The next
-// leader knows nothing else of an upstream that was not registered.
+// recordEnds returns the commands that record in the state which upstreams have ended, and which have not after all.
+// The next leader knows nothing else of an upstream that was not registered.
 func (p *Planner) recordEnds(now time.Duration, s *model.State) []state.Command {
 	var cs []state.Command
 	for _, name := range sortedKeys(p.ended) {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -182,7 +182,8 @@
 	p := &Planner{
 		cfg: cfg, electedAt: now, safeguards: guards, upstreams: map[string]*upstreamRecord{}, hosts: map[string]*entryHost{},
 		loads: newLoadTracker(), limits: limit.NewAllocator(now + guards.margin(max(cfg.GrantTTL, cfg.LeaseTTL))),
-		ended: endedUpstreams{}, presumptions: map[string]presumption{}, nextOwner: map[uint64]string{}, arrivals: map[string]timeSpan{}, history: cfg.History,
+		ended: endedUpstreams{}, presumptions: map[string]presumption{}, nextOwner: map[uint64]string{},
+		arrivals: map[string]timeSpan{}, history: cfg.History,
 	}
 	if guards.waitPredecessor {
 		p.predecessorExpiry = now + guards.margin(max(cfg.GrantTTL, cfg.LeaseTTL))
@@ -237,8 +238,8 @@
 	return g, nil
 }
 
-// completeRows adds the empty list to an announcement without one. Where upstreams list the rows that they hold, one of a keyed
-// service always sends a list, so that an announcement without it is none of its own.
+// completeRows adds the empty list to an announcement without one. Where upstreams list the rows that they hold, one of
+// a keyed service always sends a list, so that an announcement without it is none of its own.
 func (p *Planner) completeRows(s *model.State, an *proto.Announcement) *proto.Error {
 	if an.Rows != nil || !p.cfg.ReliableIncarnations {
 		return nil
@@ -250,8 +251,9 @@
 	return nil
 }
 
-// isForeign reports whether an announcement names another service than the process belongs to, or a process that is not known
-// yet names one that does not exist. Nothing is sent to it, and it proves nothing about the upstreams of its name or address.
+// isForeign reports whether an announcement names another service than the process belongs to, or a process that is not
+// known yet names one that does not exist. Nothing is sent to it, and it proves nothing about the upstreams of its name
+// or address.
 func (p *Planner) isForeign(s *model.State, info model.Upstream) bool {
 	if !p.cfg.ReliableIncarnations {
 		return false
--- a/internal/peer/leader.go
+++ b/internal/peer/leader.go
@@ -100,8 +100,8 @@
 	return callLeader[Q, R](ctx, l, path, timeout, message, true)
 }
 
-// ReportToLeader is like CallLeader for a message beside others. A leader that does not answer it in time is kept, because
-// it may be busy and answer the others.
+// ReportToLeader is like CallLeader for a message beside others. A leader that does not answer it in time is kept,
+// because it may be busy and answer the others.
 func ReportToLeader[Q, R any](
 	ctx context.Context, l *LeaderClient, path string, timeout time.Duration, message Q,
 ) (R, error) {
--- a/internal/poison/chains.go
+++ b/internal/poison/chains.go
@@ -25,8 +25,8 @@
 	suspicionTime = 500 * time.Millisecond
 	// sameEventTime is the time within which crashes of several upstreams count as one event, like the loss of a rack.
 	sameEventTime = 250 * time.Millisecond
-	// maxReportDelay is the longest time that a report takes to the leader. Times of two hosts can only be compared up to it,
-	// and hostTolerance allows for the resolution of the times of one host.
+	// maxReportDelay is the longest time that a report takes to the leader. Times of two hosts can only be compared up to
+	// it, and hostTolerance allows for the resolution of the times of one host.
 	maxReportDelay = 250 * time.Millisecond
 	hostTolerance  = 2 * time.Millisecond
 	// maxChainRuns limits the runs that are kept for one content.
@@ -210,7 +210,8 @@
 	return v, true
 }
 
-// otherEvents counts the crashes since the first run of a chain that neither its content nor quarantined content explains.
+// otherEvents counts the crashes since the first run of a chain that neither its content nor quarantined content
+// explains.
 func (c *Chains) otherEvents(s *chain) int {
 	var times []time.Duration
 	for p, crash := range c.crashed {
@@ -244,9 +245,9 @@
 	c.survivors.add(now, fingerprint)
 }
 
-// RecordReport removes the crash of a process whose report arrives at now and can't have been sent before the crash, so that
-// the process has not ended: it may have refused connections because of a cut. It returns true if content is no longer
-// quarantined.
+// RecordReport removes the crash of a process whose report arrives at now and can't have been sent before the crash, so
+// that the process has not ended: it may have refused connections because of a cut. It returns true if content is no
+// longer quarantined.
 func (c *Chains) RecordReport(now time.Duration, p Process) bool {
 	crash, ok := c.crashed[p]
 	if !ok || now < crash.EndedAt+proto.MaxMessageDelay {
--- a/internal/poison/chains_test.go
+++ b/internal/poison/chains_test.go
@@ -112,7 +112,9 @@
 	if verdict == poison.VerdictIsolate {
 		f.permits++
 		a.permit = fmt.Sprint(f.permits)
-		q := poison.RunPermitRequest{Contents: []string{content}, Holder: a.permit, TTLMs: 2000, Version: f.monitors[host].Version()}
+		q := poison.RunPermitRequest{
+			Contents: []string{content}, Holder: a.permit, TTLMs: 2000, Version: f.monitors[host].Version(),
+		}
 		if !f.tracker.PermitRun(f.now, q) {
 			if f.now < until {
 				f.waiting = append(f.waiting, func() { f.tryUntil(host, content, repeated, until) })
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -124,9 +124,9 @@
 // Version returns the version of the list in use.
 func (g *Guard) Version() uint64 { return g.version }
 
-// Update applies a list of the leader. A new leader starts with an empty list. With its first list, Update returns reports
-// of the suspects that this host knows of and the list lacks. This host keeps isolating or refusing them until the new
-// leader lists them or they expire.
+// Update applies a list of the leader. A new leader starts with an empty list. With its first list, Update returns
+// reports of the suspects that this host knows of and the list lacks. This host keeps isolating or refusing them until
+// the new leader lists them or they expire.
 func (g *Guard) Update(now time.Duration, l List, newLeader bool) []Report {
 	if newLeader {
 		for f, ps := range g.watched {
--- a/internal/soak/crash.go
+++ b/internal/soak/crash.go
@@ -24,8 +24,8 @@
 	crashInterval = 300 * time.Millisecond
 	// stableWindow is how long after the third crash the fleet may take to stop the request.
 	stableWindow = 3 * time.Second
-	// crashesBeforeStop is the number of crashes after which the fleet must know the request, and maxLateCrashes how often it
-	// may still reach an upstream later than stableWindow after that.
+	// crashesBeforeStop is the number of crashes after which the fleet must know the request, and maxLateCrashes how often
+	// it may still reach an upstream later than stableWindow after that.
 	crashesBeforeStop = 3
 	maxLateCrashes    = 3
 	crashTestOrders   = 12
@@ -276,8 +276,8 @@
 	// massCrashes is how often all upstreams of orders end at once, massCrashInterval the time between two of them.
 	massCrashes       = 3
 	massCrashInterval = 4 * time.Second
-	// afterCrashes is how long the request is repeated after the last upstreams have come back, and serviceAfter the share of
-	// these requests that must be served.
+	// afterCrashes is how long the request is repeated after the last upstreams have come back, and serviceAfter the share
+	// of these requests that must be served.
 	afterCrashes = 4 * time.Second
 	serviceAfter = 0.99
 )
--- a/internal/soak/held.go
+++ b/internal/soak/held.go
@@ -49,8 +49,8 @@
 	return true
 }
 
-// restartDuringNotice ends an upstream whose notice is held up and starts it again under its ID. The notice arrives, once or
-// twice, after the first reports of the new process, which must be in use later.
+// restartDuringNotice ends an upstream whose notice is held up and starts it again under its ID. The notice arrives,
+// once or twice, after the first reports of the new process, which must be in use later.
 func (r *Run) restartDuringNotice(u *Upstream) error {
 	r.recordEvent("%s ends, its notice is held up", u.id)
 	u.Kill()
@@ -78,14 +78,14 @@
 				return
 			}
 		}
-		r.checker.ReportViolation("upstream %s got no request from %v to %v after a late notice of its predecessor", u.id, returnTime,
-			returnTime+returnCheck)
+		r.checker.ReportViolation("upstream %s got no request from %v to %v after a late notice of its predecessor", u.id,
+			returnTime, returnTime+returnCheck)
 	})
 	return nil
 }
 
-// deliverOddReports delivers reports of another writer about running upstreams: of a later process, with one field missing or of
-// another type.
+// deliverOddReports delivers reports of another writer about running upstreams: of a later process, with one field
+// missing or of another type.
 func (r *Run) deliverOddReports() {
 	for range oddReports {
 		running := r.group.running([]string{"styles", "orders"}[r.random.IntN(2)])
--- a/internal/soak/reports.go
+++ b/internal/soak/reports.go
@@ -19,9 +19,9 @@
 	maxLateness = 6 * time.Second
 )
 
-// RunLateReports lets upstreams leave while replicas are stopped or killed, and delivers reports from before the leave late,
-// once more and in any order. Some upstreams are cut off before they leave, some start again under their ID while their
-// notice is held up, and another writer reports about others.
+// RunLateReports lets upstreams leave while replicas are stopped or killed, and delivers reports from before the leave
+// late, once more and in any order. Some upstreams are cut off before they leave, some start again under their ID while
+// their notice is held up, and another writer reports about others.
 func RunLateReports(cfg Config, seed uint64) (*Run, []string, error) {
 	r := newRun(cfg, seed)
 	return r.run(func(context.Context) error {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -35,7 +35,8 @@
 	return fallback
 }
 
-// octetLockPort is the port on which a run listens to keep its loopback addresses from other processes and parallel tests.
+// octetLockPort is the port on which a run listens to keep its loopback addresses from other processes and parallel
+// tests.
 const octetLockPort = 7539
 
 // freeOctet returns an even second octet of loopback addresses, and keeps it and the next one until the end of the test.
@@ -121,15 +122,15 @@
 	checkRun(t, run, violations, err, cfg.Dir)
 }
 
-// Guards against reports that arrive late, doubled or out of order after a change of the leader and bring an upstream that
-// has left back into use, or give its keys to another one. SOAK_SEED and SOAK_SEEDS select the schedules.
+// Guards against reports that arrive late, doubled or out of order after a change of the leader and bring an upstream
+// that has left back into use, or give its keys to another one. SOAK_SEED and SOAK_SEEDS select the schedules.
 func TestLateReportsChangeNothing(t *testing.T) {
 	t.Parallel()
 	runSeeds(t, 90, 3, soak.RunLateReports)
 }
 
-// Guards against upstreams that send bytes without end: entry hosts keep them until they run out of memory, and the requests
-// of all other callers end with them.
+// Guards against upstreams that send bytes without end: entry hosts keep them until they run out of memory, and the
+// requests of all other callers end with them.
 func TestEndlessResponsesLeaveMemory(t *testing.T) { runLogged(t, 110, 4, soak.RunEndlessResponses) }
 
 // Guards against an upstream that sends reports without end: replicas keep them until they run out of memory.
@@ -187,8 +188,8 @@
 	}
 }
 
-// Guards against a request that crashes every upstream that runs it and is sent to one upstream after the other: the report
-// of the incident named BUDGET.
+// Guards against a request that crashes every upstream that runs it and is sent to one upstream after the other: the
+// report of the incident named BUDGET.
 func TestCrashingRequestIsStopped(t *testing.T) {
 	t.Parallel()
 	daemonPath := buildDaemon(t)
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -34,8 +34,8 @@
 	hostSeparator = "@"
 )
 
-// UpstreamGroup holds the upstreams of a run. Each upstream can look up the key ranges of the others, to check that no two
-// of them hold one key at the same time.
+// UpstreamGroup holds the upstreams of a run. Each upstream can look up the key ranges of the others, to check that no
+// two of them hold one key at the same time.
 type UpstreamGroup struct {
 	checker    *Checker
 	registries []string
@@ -105,8 +105,8 @@
 	// silent is true if the upstream answers no request.
 	silent       bool
 	drainAckedAt time.Time
-	// saysLeaving is true if the answers say that the upstream leaves, while its reports say that it is ready. leavingSince is
-	// the time of the first such answer.
+	// saysLeaving is true if the answers say that the upstream leaves, while its reports say that it is ready.
+	// leavingSince is the time of the first such answer.
 	saysLeaving  bool
 	leavingSince time.Time
 	// turnAway is the Retry-After time with which the upstream refuses all requests, or 0. pauses holds the pause of each
--- a/internal/state/ranges.go
+++ b/internal/state/ranges.go
@@ -11,7 +11,8 @@
 type Remove struct {
 	Name        string `json:"name"`
 	Incarnation uint64 `json:"incarnation"`
-	// LossConfirmed confirms that the process has ended. The confirmation comes from an operator or a successor at its address.
+	// LossConfirmed confirms that the process has ended. The confirmation comes from an operator or a successor at its
+	// address.
 	LossConfirmed bool `json:"lost,omitempty"`
 }
 
