daemon: refusals of uploads reach the caller

A response that began before the body of the request was read did not reach 10 to 90% of callers that were still sending: limitBodyTime replaced the body by which http.Server notices unread bytes, so it closed the connection at once and the system reset it. And the response waited until 256 KB of the body had come. A refused upload that may not be repeated was lost with the promise that it had not run. Ruled out: the proxy of the soak, an ended host.

--- a/internal/daemon/caller_conn.go
+++ b/internal/daemon/caller_conn.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"baobabreach/internal/errs"
 	"baobabreach/internal/model"
 )
 
@@ -54,6 +55,14 @@
 	return n, err
 }
 
+// CloseWrite ends what is sent, as http.Server does before it closes a connection with unread bytes.
+func (c *callerConn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return errs.Wrap(w.CloseWrite(), "close for writing")
+	}
+	return nil
+}
+
 // record follows the states of the connection: it is active once the headers of a request have been read.
 func (c *callerConn) record(state http.ConnState) {
 	c.headSince.Store(0)
--- a/internal/daemon/export_test.go
+++ b/internal/daemon/export_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"time"
 
 	"baobabreach/internal/config"
 	"baobabreach/internal/metric"
@@ -32,7 +33,8 @@
 
 // NewBoundedServer is like NewStoppingServer for a server that enforces the bounds of the configuration.
 func NewBoundedServer(cfg config.Config, l net.Listener, h http.Handler, bounds func() model.Bounds) StoppingServer {
-	s := newCallerServer(cfg, newServer(h, 4<<10, 0), newDrain(cfg), newClock(), slog.New(slog.DiscardHandler))
+	s := newCallerServer(cfg, newServer(h, 4<<10, time.Minute), newDrain(cfg), newClock(),
+		slog.New(slog.DiscardHandler))
 	s.server.ReadHeaderTimeout, s.server.IdleTimeout = maxCallerIdleTime, maxCallerIdleTime
 	s.bounds = bounds
 	go s.serve(l)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -136,6 +136,37 @@
 // Guards against an upstream that sends reports without end: replicas keep them until they run out of memory.
 func TestEndlessReportsLeaveMemory(t *testing.T) { runLogged(t, 115, 2, soak.RunEndlessReports) }
 
+// Guards against uploads at the same time that take an entry host beyond its memory or keep small requests out.
+// SOAK_UPLOADS plays all sizes, to be run with nothing else.
+func TestUploadsLeaveMemory(t *testing.T) {
+	t.Parallel()
+	daemonPath := buildDaemon(t)
+	counts, sizes, ways := []int{30}, []int{16}, []bool{true}
+	all := os.Getenv("SOAK_UPLOADS") != ""
+	if all {
+		counts, sizes, ways = []int{8, 30, 100}, []int{1, 16, 64}, []bool{false, true}
+	}
+	for _, count := range counts {
+		for _, mb := range sizes {
+			for _, chunked := range ways {
+				for _, trickle := range ways {
+					u := soak.UploadConfig{Count: count, MB: mb, Chunked: chunked, Trickle: trickle, CheckTimes: all}
+					t.Run(fmt.Sprintf("%d_of_%d_MB_chunked_%v_trickle_%v", count, mb, chunked, trickle), func(t *testing.T) {
+						cfg := soak.Config{
+							DaemonPath: daemonPath, Dir: t.TempDir(), LoopbackOctet: freeOctet(t, 130), EntryHosts: 1,
+						}
+						run, violations, err := soak.RunUploads(cfg, u)
+						for _, e := range run.Events {
+							t.Log(e)
+						}
+						checkRun(t, run, violations, err, cfg.Dir)
+					})
+				}
+			}
+		}
+	}
+}
+
 // runLogged runs a scenario and logs its events.
 func runLogged(t *testing.T, octet, entryHosts int, run func(cfg soak.Config) (*soak.Run, []string, error)) {
 	t.Helper()
