--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -141,15 +141,15 @@
 func TestUploadsLeaveMemory(t *testing.T) {
 	t.Parallel()
 	daemonPath := buildDaemon(t)
-	counts, sizes, ways := []int{30}, []int{16}, []bool{true}
+	counts, sizes, framings, speeds := []int{30}, []int{16}, []bool{false}, []bool{true}
 	all := os.Getenv("SOAK_UPLOADS") != ""
 	if all {
-		counts, sizes, ways = []int{8, 30, 100}, []int{1, 16, 64}, []bool{false, true}
+		counts, sizes, framings, speeds = []int{8, 30, 100}, []int{1, 16, 64}, []bool{false, true}, []bool{false, true}
 	}
 	for _, count := range counts {
 		for _, mb := range sizes {
-			for _, chunked := range ways {
-				for _, trickle := range ways {
+			for _, chunked := range framings {
+				for _, trickle := range speeds {
 					u := soak.UploadConfig{Count: count, MB: mb, Chunked: chunked, Trickle: trickle, CheckTimes: all}
 					t.Run(fmt.Sprintf("%d_of_%d_MB_chunked_%v_trickle_%v", count, mb, chunked, trickle), func(t *testing.T) {
 						cfg := soak.Config{
