--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -164,14 +164,6 @@
 	return n.Permit(q)
 }
 
-func (c controlAPI) permitRun(_ context.Context, q poison.RunPermitRequest) (poison.PermitResponse, error) {
-	n, err := c.replicaNode()
-	if err != nil {
-		return poison.PermitResponse{}, err
-	}
-	return n.PermitRun(q)
-}
-
 func (c controlAPI) propose(ctx context.Context, commands []state.Command) ([]state.Result, error) {
 	n, err := c.replicaNode()
 	if err != nil {
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -11,14 +11,13 @@
 
 	"baobabreach/internal/config"
 	"baobabreach/internal/drain"
-	"baobabreach/internal/model"
 
 	"github.com/go-faster/errors"
 )
 
 const (
-	// maxIdleLinger limits how long a stopping host keeps idle connections open after it has closed its listener. Callers
-	// may just be sending a request on them, and can't tell a closed connection from a lost request.
+	// maxIdleLinger limits how long a stopping host keeps idle connections open after it has closed its listener. Callers may
+	// just be sending a request on them, and can't tell a closed connection from a lost request.
 	maxIdleLinger = 5 * time.Second
 	// lingerPollInterval is the interval between checks whether connections are still open.
 	lingerPollInterval = 10 * time.Millisecond
@@ -40,17 +39,13 @@
 	// cancel ends the contexts of all requests.
 	cancel   context.CancelCauseFunc
 	listener atomic.Pointer[net.Listener]
-	// bounds returns those of the configuration in force. It is nil for a server with fixed limits.
-	bounds func() model.Bounds
-	// stopped is closed at the end of a stop.
-	stopped chan struct{}
 	connections
 }
 
 func newCallerServer(cfg config.Config, s *http.Server, d *drain.Drain, now Clock, log *slog.Logger) *callerServer {
 	c := &callerServer{
 		server: s, drain: d, clock: now, log: log, balancerDelay: cfg.BalancerDelay, timeout: cfg.StopTimeout,
-		stopped: make(chan struct{}), connections: connections{states: map[net.Conn]http.ConnState{}},
+		connections: connections{states: map[net.Conn]http.ConnState{}},
 	}
 	ctx, cancel := context.WithCancelCause(context.Background())
 	c.cancel = cancel
@@ -67,9 +62,6 @@
 }
 
 func (c *connections) record(conn net.Conn, state http.ConnState) {
-	if cc, ok := conn.(*callerConn); ok {
-		cc.record(state)
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if state == http.StateClosed || state == http.StateHijacked {
@@ -126,17 +118,13 @@
 func (w *closingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
 func (c *callerServer) serve(l net.Listener) {
-	if c.bounds != nil {
-		l = timedListener{Listener: l, clock: c.clock}
-		go c.enforceTimes()
-	}
 	c.listener.Store(&l)
 	_ = c.server.Serve(l)
 }
 
-// stop turns readiness off, waits until the load balancer has noticed and closes the listener. Connections that are
-// open then are served until they are closed or the stop times out. http.Server.Shutdown would close idle ones at once,
-// and drop the first request of one that was not used before.
+// stop turns readiness off, waits until the load balancer has noticed and closes the listener. Connections that are open
+// then are served until they are closed or the stop times out. http.Server.Shutdown would close idle ones at once, and drop
+// the first request of one that was not used before.
 func (c *callerServer) stop(ctx context.Context) {
 	c.drain.Begin(c.clock())
 	c.log.Info("readiness is off", "balancer_delay", c.balancerDelay)
@@ -152,7 +140,6 @@
 		c.await(ctx, endAnswerTime, func(_, active int) bool { return active == 0 })
 	}
 	_ = c.server.Close()
-	close(c.stopped)
 }
 
 // await waits until done returns true for the numbers of open and active connections, but no longer than d.
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -129,8 +129,8 @@
 	return netip.AddrPortFrom(a.Addr(), a.Port()+1).String()
 }
 
-// NewGateway returns the application of a daemon on a hosting platform, whose interfaces adapter defines. cfg must have
-// been validated and have a Gateway.
+// NewGateway returns the application of a daemon on a hosting platform, whose interfaces adapter defines. cfg must have been
+// validated and have a Gateway.
 func NewGateway(cfg config.Config, dial DialFunc, adapter Adapter) *fx.App {
 	return fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
@@ -241,11 +241,6 @@
 		Report: func(ctx context.Context, r poison.RunReport) error {
 			return reportToLeader(ctx, l, peer.PathRuns, r)
 		},
-		Permit: func(ctx context.Context, q poison.RunPermitRequest) (bool, error) {
-			resp, err := peer.ReportToLeader[poison.RunPermitRequest, poison.PermitResponse](
-				ctx, l, peer.PathPermitRun, renewTimeout, q)
-			return resp.Granted, err
-		},
 	})
 }
 
@@ -258,12 +253,9 @@
 	m := mux.NewRouter()
 	m.Handle(peer.PathAnnounce, peer.Handle(peer.MaxBodyBytes, r.handleAnnounce)).Methods(http.MethodPost)
 	m.Handle(peer.PathMarkLeaving, peer.Handle(peer.MaxBodyBytes, r.handleMarkLeaving)).Methods(http.MethodPost)
-	m.Handle(peer.PathMarkLeavingV1, peer.Handle(peer.MaxBodyBytes, r.handleLeavingName)).Methods(http.MethodPost)
 	m.Handle(peer.PathChange, peer.Handle(peer.MaxRaftBytes, r.handleChange)).Methods(http.MethodPost)
 	m.Handle(peer.PathLeaving, peer.Handle(peer.MaxBodyBytes, c.leaving)).Methods(http.MethodPost)
 	m.Handle(peer.PathRuns, peer.Handle(peer.MaxBodyBytes, c.runs)).Methods(http.MethodPost)
-	m.Handle(peer.PathRunsV1, peer.Handle(peer.MaxBodyBytes, c.runs)).Methods(http.MethodPost)
-	m.Handle(peer.PathPermitRun, peer.Handle(peer.MaxBodyBytes, c.permitRun)).Methods(http.MethodPost)
 	m.Handle(peer.PathItems, peer.Handle(peer.MaxBodyBytes, r.handleItems)).Methods(http.MethodPost)
 	return c.mountShared(m)
 }
@@ -327,8 +319,8 @@
 	server        *http.Server
 }
 
-// startGatewayListeners opens the addresses that the daemon needs as an entry host, a replica or both. During a
-// shutdown it drains callers before it closes the other addresses.
+// startGatewayListeners opens the addresses that the daemon needs as an entry host, a replica or both. During a shutdown it
+// drains callers before it closes the other addresses.
 func startGatewayListeners(lc fx.Lifecycle, p gatewayParams) {
 	log := logs.ForComponent(p.Log, "listen")
 	c := p.control()
@@ -358,11 +350,6 @@
 	addServer("registry", p.Config.Gateway.Registry,
 		room.Handler(messages, peer.MaxRaftBytes, p.Adapter.Registry(p.Registry)))
 	callers := newCallerServer(p.Config, addServer(callerListener, p.Config.Caller, p.Gate), p.Drain, p.Clock, log)
-	callers.server.ReadHeaderTimeout, callers.server.IdleTimeout = maxCallerIdleTime, maxCallerIdleTime
-	callers.bounds = func() model.Bounds {
-		t, _ := p.View.Table()
-		return t.Bounds
-	}
 	ready := addServer("ready", p.Config.Gateway.Ready, p.Adapter.Ready(p.Gate.Ready))
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
@@ -397,8 +384,8 @@
 	})
 }
 
-// gatewayIdleTimeout limits how long a connection may be idle, unless the configuration says how long those of callers
-// may.
+// gatewayIdleTimeout limits how long a connection may be idle. It is longer than callers of the platform keep idle
+// connections for reuse.
 const gatewayIdleTimeout = 30 * time.Second
 
 // startGate starts the lease and table renewal of an entry host and the periodic cleanup of its connection pool and gate.
--- a/internal/daemon/registry.go
+++ b/internal/daemon/registry.go
@@ -58,7 +58,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	if n := r.node(); n != nil && r.otherLeader(err) == "" {
+	if n := r.node(); n != nil && peer.AsError(err).Leader == "" {
 		n.AwaitLeader(ctx)
 		// Jitter, so that the calls that have waited do not reach the new leader together.
 		select {
@@ -70,23 +70,14 @@
 			return resp, err
 		}
 	}
-	leader := r.otherLeader(err)
-	if leader == "" {
+	leader := peer.AsError(err).Leader
+	if leader == "" || leader == r.cfg.Advertise {
 		return resp, err
 	}
 	r.leader.SetLeader(leader)
 	return peer.CallLeader[Q, R](ctx, r.leader, path, timeout, q)
 }
 
-// otherLeader returns the address of the leader that an error names, or "" if it names none or this replica, whose
-// lease has lapsed.
-func (r Registry) otherLeader(err error) string {
-	if leader := peer.AsError(err).Leader; leader != r.cfg.Advertise {
-		return leader
-	}
-	return ""
-}
-
 // Log returns the log of the registry.
 func (r Registry) Log() *slog.Logger { return r.log }
 
@@ -100,8 +91,8 @@
 }
 
 // MarkLeaving marks an upstream as leaving and returns once that is committed.
-func (r Registry) MarkLeaving(ctx context.Context, notice proto.LeaveNotice) error {
-	_, err := callLeader(ctx, r, peer.PathMarkLeaving, forwardTimeout, r.handleMarkLeaving, notice)
+func (r Registry) MarkLeaving(ctx context.Context, name string) error {
+	_, err := callLeader(ctx, r, peer.PathMarkLeaving, forwardTimeout, r.handleMarkLeaving, name)
 	return err
 }
 
@@ -201,24 +192,20 @@
 	return proto.NotRun(proto.CodeNoLeader, http.StatusServiceUnavailable, "the leave of %s is not committed", name)
 }
 
-func (r Registry) handleMarkLeaving(ctx context.Context, notice proto.LeaveNotice) (struct{}, error) {
+func (r Registry) handleMarkLeaving(ctx context.Context, name string) (struct{}, error) {
 	n, err := r.leaderNode()
 	if err != nil {
 		return struct{}{}, err
 	}
 	deadline := r.clock() + leaveCommitTimeout
-	incarnation, err := n.MarkLeaving(notice)
-	if err != nil {
-		return struct{}{}, err
-	}
-	r.log.Info("upstream leaves", "upstream", notice.Name, "incarnation", incarnation, "named", notice.Incarnation > 0)
 	for {
 		changed := n.Changed()
-		if n.Model().HasEnded(notice.Name, incarnation) {
-			return struct{}{}, n.CheckLeader()
+		leaving, err := n.MarkLeaving(name)
+		if err != nil || leaving {
+			return struct{}{}, err
 		}
 		if r.clock() >= deadline {
-			return struct{}{}, errLeaveNotCommitted(notice.Name)
+			return struct{}{}, errLeaveNotCommitted(name)
 		}
 		select {
 		case <-ctx.Done():
@@ -229,11 +216,6 @@
 	}
 }
 
-// handleLeavingName handles the notice of a replica of an earlier build, which has only the name.
-func (r Registry) handleLeavingName(ctx context.Context, name string) (struct{}, error) {
-	return r.handleMarkLeaving(ctx, proto.LeaveNotice{Name: name})
-}
-
 func (r Registry) handleChange(ctx context.Context, c model.Change) (struct{}, error) {
 	n, err := r.leaderNode()
 	if err != nil {
--- a/internal/daemon/renew.go
+++ b/internal/daemon/renew.go
@@ -48,13 +48,13 @@
 func (r *renewer) run(ctx context.Context) {
 	redirected := false
 	for ctx.Err() == nil {
-		wait, asked := r.interval, r.leader.Leader()
+		wait := r.interval
 		err := r.renew(ctx)
 		r.trackLeader(err)
 		switch {
 		case err == nil:
 			redirected = false
-		case !redirected && namesOtherLeader(err, asked):
+		case !redirected && hasLeaderHint(err):
 			redirected = true
 		default:
 			redirected = false
@@ -69,10 +69,10 @@
 	}
 }
 
-// namesOtherLeader reports whether the renewal was refused by a replica that knows another leader than the one asked.
-func namesOtherLeader(err error, asked string) bool {
+// hasLeaderHint reports whether the renewal was refused by a replica that knows the leader.
+func hasLeaderHint(err error) bool {
 	e := peer.AsError(err)
-	return e.Code == proto.CodeNotLeader && e.Leader != "" && e.Leader != asked
+	return e.Code == proto.CodeNotLeader && e.Leader != ""
 }
 
 // fullTableTimeout allows for the transfer of a whole table over a slow link while other hosts start as well.
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -20,8 +20,7 @@
 )
 
 const (
-	// defaultTimeout is the longest time for a request; the deadline of the caller or the timeout of the route may shorten
-	// it.
+	// defaultTimeout is the longest time for a request; the deadline of the caller or the timeout of the route may shorten it.
 	defaultTimeout = 30 * time.Second
 	// ownerWaitShare is the share of the latency objective for which a keyed request may wait for an owner that accepts it.
 	ownerWaitShare = 0.75
@@ -51,8 +50,8 @@
 	tableVersion uint64
 	upstream     string
 	tried        map[string]bool
-	// questions is the number of questions to brokers, unanswered those without an answer in time, and askingTime the time
-	// that all of them took.
+	// questions is the number of questions to brokers, unanswered those without an answer in time, and askingTime the time that
+	// all of them took.
 	questions, unanswered int
 	askingTime            time.Duration
 	sends                 int
@@ -75,9 +74,6 @@
 	buffer *room.Buffer
 	// responses holds the responses of upstreams until the caller has its own.
 	responses []*pipe.Response
-	// permit is that to run isolated content, and permitWaits counts the pauses after which it was asked for again.
-	permit      permit
-	permitWaits int
 }
 
 // maxLoggedAttempts is the largest number of failed attempts in the log line of a request.
@@ -99,8 +95,8 @@
 
 func (c *call) now() time.Duration { return c.gate.cfg.Clock() }
 
-// withCallerDeadline sets c.deadline to the deadline of the caller, at most defaultTimeout from now, and applies it to
-// the context of the request.
+// withCallerDeadline sets c.deadline to the deadline of the caller, at most defaultTimeout from now, and applies it to the
+// context of the request.
 func (c *call) withCallerDeadline(r *http.Request) (context.Context, context.CancelFunc) {
 	timeout := defaultTimeout
 	if ms, err := strconv.ParseFloat(r.Header.Get(c.gate.cfg.Names.Deadline), 64); err == nil && ms > 0 {
@@ -148,7 +144,6 @@
 	}
 	c.gate.cfg.Budget.RecordRequest(c.now(), c.service, c.gate.hostCount())
 	c.keyed = t.Services[c.service].Keyed
-	defer func() { c.gate.cfg.Crashes.endPermit(c.permit) }()
 	if c.keyed {
 		return c.runKeyed(ctx, r)
 	}
@@ -175,13 +170,6 @@
 			c.endAttempt(chosen, assign.ResultNeutral, pipe.Notice{}, 0)
 			return c.refuseStopping(ctx)
 		}
-		if !c.takePermit(ctx) {
-			c.endAttempt(chosen, assign.ResultNeutral, pipe.Notice{}, 0)
-			if !c.awaitPermit(ctx) {
-				return c.giveUp(ctx, proto.CodeQuarantined, reasonIsolated)
-			}
-			continue
-		}
 		resp, failure := c.send(ctx, r, chosen)
 		if failure == nil {
 			if !c.shouldRetryResponse(resp) {
--- a/internal/gate/crash.go
+++ b/internal/gate/crash.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"slices"
 	"sync"
 	"time"
 
@@ -22,8 +21,6 @@
 	crashReportPause   = 200 * time.Millisecond
 	// maxPendingRuns limits the runs that wait for a report or for their upstream to show whether it has ended.
 	maxPendingRuns = 512
-	// secondProbeDelay is the time between the two probes of an upstream that may have ended during an isolated run.
-	secondProbeDelay = 100 * time.Millisecond
 	// replacedTime is how long after a run without a response the end of its upstream is put down to the run.
 	replacedTime = 6 * time.Second
 )
@@ -35,8 +32,6 @@
 	Clock func() time.Duration
 	// Report sends a report to the leader. Nil reports nothing.
 	Report func(ctx context.Context, r poison.RunReport) error
-	// Permit asks the leader for the permit to run isolated content. Nil permits every run.
-	Permit func(ctx context.Context, q poison.RunPermitRequest) (bool, error)
 	// Probe finds out whether a process listens at an address.
 	Probe func(ctx context.Context, address string) pipe.Liveness
 	View  *route.View
@@ -63,7 +58,6 @@
 	// reportFails is true from the first report that failed to the next that did not.
 	reportFails bool
 	stats       CrashStats
-	permits     permits
 }
 
 // CrashStats counts crashes and refused requests since the start.
@@ -78,7 +72,6 @@
 	contents        []string
 	sentAt, endedAt time.Duration
 	reason          string
-	permit          permit
 }
 
 func (r run) process() poison.Process { return processOf(r.upstream) }
@@ -92,12 +85,8 @@
 	if cfg.Report == nil {
 		cfg.Report = func(context.Context, poison.RunReport) error { return nil }
 	}
-	if cfg.Permit == nil {
-		cfg.Permit = func(context.Context, poison.RunPermitRequest) (bool, error) { return true, nil }
-	}
 	return &CrashGuard{
 		cfg: cfg, wake: make(chan struct{}, 1), monitor: poison.NewMonitor(), probing: map[poison.Process][]run{},
-		permits: permits{holders: map[string]string{}},
 	}
 }
 
@@ -124,9 +113,9 @@
 		g.quarantined = append(h.Quarantined, g.quarantined...)
 		g.requestReport()
 	}
-	if len(l.Quarantined)+len(l.Suspected)+len(l.Isolated) > 0 {
+	if len(l.Quarantined)+len(l.Suspected) > 0 {
 		g.cfg.Log.Info("list of crashing content", "version", l.Version, "suspected", len(l.Suspected),
-			"isolated", len(l.Isolated), "quarantined", len(l.Quarantined))
+			"quarantined", len(l.Quarantined))
 	}
 }
 
@@ -153,9 +142,9 @@
 	return verdict, left
 }
 
-// recordSurvival records that an upstream ran content with a body of the given size without ending.
-func (g *CrashGuard) recordSurvival(contents func() []string, size int) {
-	if size > maxSurvivorBytes && g.idle() {
+// recordSurvival records that an upstream ran content without ending.
+func (g *CrashGuard) recordSurvival(contents func() []string) {
+	if g.idle() {
 		return
 	}
 	fingerprints := contents()
@@ -174,8 +163,6 @@
 	_, probing := g.probing[r.process()]
 	if len(g.probing[r.process()]) < maxPendingRuns {
 		g.probing[r.process()] = append(g.probing[r.process()], r)
-	} else {
-		g.endPermitLocked(r.permit)
 	}
 	if !probing {
 		go g.probe(r.upstream)
@@ -199,15 +186,10 @@
 
 // probe decides whether the runs of an upstream whose connections broke have crashed it.
 func (g *CrashGuard) probe(u model.Upstream) {
-	p := processOf(u)
 	liveness := g.cfg.Probe(context.Background(), u.Address)
-	if liveness != pipe.LivenessRefused && g.probesIsolatedRun(p) {
-		// A process that ends may close its connections before its listener. The next run of the content waits for the result.
-		time.Sleep(secondProbeDelay)
-		liveness = g.cfg.Probe(context.Background(), u.Address)
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	p := processOf(u)
 	for _, r := range g.probing[p] {
 		g.cfg.Log.Warn("connection broke during a request", slog.String("request", r.requestID), slog.Any("content", r.contents),
 			slog.String("upstream", u.Name), slog.Uint64("incarnation", u.Incarnation), slog.String("address", u.Address),
@@ -217,24 +199,15 @@
 		} else {
 			g.addUnresolved(r)
 		}
-		g.endPermitLocked(r.permit)
 	}
 	delete(g.probing, p)
 }
 
-// probesIsolatedRun reports whether one of the runs that wait for the result of a probe has a permit.
-func (g *CrashGuard) probesIsolatedRun(p poison.Process) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return slices.ContainsFunc(g.probing[p], func(r run) bool { return r.permit.holder != "" })
-}
-
 // addCrash records the crash of an upstream during a run. The caller holds mu.
 func (g *CrashGuard) addCrash(r run) {
 	g.stats.Crashes++
 	crash := poison.Crash{
 		Host: g.cfg.Host, Process: r.process(), Fingerprints: r.contents, SentAt: r.sentAt, EndedAt: r.endedAt,
-		Alone: r.permit.fromLeader, Survived: g.monitor.Survivors(g.cfg.Clock(), r.contents),
 	}
 	for _, v := range g.monitor.RecordCrash(g.cfg.Clock(), crash) {
 		g.cfg.Log.Warn("content crashes upstreams and is refused", "content", v.Fingerprint, "crashes", v.Crashes,
@@ -302,11 +275,11 @@
 // sendReport sends everything that waits for a report, and keeps it if that fails.
 func (g *CrashGuard) sendReport(ctx context.Context) bool {
 	g.mu.Lock()
-	crashes, survived, quarantined, ended := g.crashes, g.survived, g.quarantined, g.permits.ended
-	g.crashes, g.survived, g.quarantined, g.permits.ended = nil, nil, nil, nil
+	crashes, survived, quarantined := g.crashes, g.survived, g.quarantined
+	g.crashes, g.survived, g.quarantined = nil, nil, nil
 	r := poison.NewRunReport(g.cfg.Clock(), g.cfg.Host, crashes)
 	g.mu.Unlock()
-	r.Survived, r.Quarantined, r.Ended = survived, quarantined, ended
+	r.Survived, r.Quarantined = survived, quarantined
 	if r.Empty() {
 		return true
 	}
@@ -324,7 +297,6 @@
 	g.crashes = limitLength(append(crashes, g.crashes...))
 	g.survived = limitLength(append(survived, g.survived...))
 	g.quarantined = limitLength(append(quarantined, g.quarantined...))
-	g.permits.ended = limitLength(append(ended, g.permits.ended...))
 	return false
 }
 
@@ -359,7 +331,7 @@
 func (c *call) recordRun(ctx context.Context, u model.Upstream, sentAt time.Duration, failure *pipe.Failure) {
 	guard := c.gate.cfg.Crashes
 	if failure == nil {
-		guard.recordSurvival(c.fingerprints, len(c.body))
+		guard.recordSurvival(c.fingerprints)
 		return
 	}
 	if failure.Stage != pipe.StageUnknown || !failure.Broken && ctx.Err() == nil {
@@ -369,8 +341,6 @@
 		requestID: c.id, upstream: u, contents: c.fingerprints(), sentAt: sentAt, endedAt: c.now(), reason: failure.Error(),
 	}
 	if failure.Broken {
-		// The permit ends once it is known whether the upstream has.
-		r.permit, c.permit = c.permit, permit{}
 		guard.recordBroken(r)
 		return
 	}
--- a/internal/gate/keyed.go
+++ b/internal/gate/keyed.go
@@ -37,13 +37,6 @@
 			c.endAttempt(chosen, assign.ResultNeutral, pipe.Notice{}, 0)
 			return c.refuseStopping(ctx)
 		}
-		if !c.takePermit(ctx) {
-			c.endAttempt(chosen, assign.ResultNeutral, pipe.Notice{}, 0)
-			if !c.awaitPermit(ctx) {
-				return c.giveUp(ctx, proto.CodeQuarantined, reasonIsolated)
-			}
-			continue
-		}
 		resp, failure := c.sendKeyed(ctx, r, target, chosen, position)
 		if failure == nil {
 			if !c.shouldRetryResponse(resp) {
--- a/internal/model/items.go
+++ b/internal/model/items.go
@@ -37,13 +37,10 @@
 	Version uint64 `json:"version"`
 }
 
-// Bounds limits the size of client requests, the time in which clients send their headers and the time for which their
-// connections may be idle. A zero value stands for the limit in the daemon's settings.
+// Bounds limits the size of client requests. A zero value stands for the limit in the daemon's settings.
 type Bounds struct {
-	HeaderBytes     int64 `json:"header_bytes"`
-	BodyBytes       int64 `json:"body_bytes"`
-	HeaderTimeoutMs int64 `json:"header_timeout_ms,omitempty"`
-	IdleTimeoutMs   int64 `json:"idle_timeout_ms,omitempty"`
+	HeaderBytes int64 `json:"header_bytes"`
+	BodyBytes   int64 `json:"body_bytes"`
 }
 
 // Item is a versioned entry of the configuration. A dropped item is kept as a tombstone, so that an older version that
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -103,8 +103,8 @@
 	return n.planner.Regrant(n.cfg.Clock(), n.model.Load(), a), nil
 }
 
-// TimeToNextGrantExpiry returns the time until the earliest expiry of any current grant, or false if there is none or
-// this replica is not the leader.
+// TimeToNextGrantExpiry returns the time until the earliest expiry of any current grant, or false if there is none or this
+// replica is not the leader.
 func (n *Node) TimeToNextGrantExpiry() (time.Duration, bool) {
 	n.plannerMu.Lock()
 	defer n.plannerMu.Unlock()
@@ -117,15 +117,14 @@
 // Syncs returns the number of disk syncs of this replica.
 func (n *Node) Syncs() int64 { return n.cfg.Store.SyncCount() }
 
-// MarkLeaving records on the leader that an upstream is leaving. It returns the incarnation that the notice is taken
-// for; the state shows the leave once that one has ended there.
-func (n *Node) MarkLeaving(notice proto.LeaveNotice) (incarnation uint64, err error) {
+// MarkLeaving records on the leader that an upstream is leaving, and returns true once the state shows it.
+func (n *Node) MarkLeaving(name string) (bool, error) {
 	n.plannerMu.Lock()
 	defer n.plannerMu.Unlock()
 	if err := n.requireLeader(); err != nil {
-		return 0, err
+		return false, err
 	}
-	return n.planner.MarkLeaving(n.cfg.Clock(), n.model.Load(), notice), nil
+	return n.planner.MarkLeaving(n.cfg.Clock(), n.model.Load(), name), nil
 }
 
 // RecordLeaving records on the leader that upstreams say in their answers that they leave.
@@ -156,8 +155,8 @@
 	return nil
 }
 
-// AwaitLeader returns once this replica holds the leader lease or knows another replica that leads, ctx is done, or Run
-// has returned.
+// AwaitLeader returns once this replica holds the leader lease or knows another replica that leads, ctx is done, or Run has
+// returned.
 func (n *Node) AwaitLeader(ctx context.Context) {
 	n.watchMu.Lock()
 	found := n.leaderFound
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -419,9 +419,7 @@
 		return
 	}
 	if n.planner == nil || n.plannerTerm != n.raft.Term() {
-		cfg := n.cfg.Planner
-		cfg.ElectedAtWallMs = n.cfg.WallMs()
-		n.planner, n.plannerTerm = owner.New(cfg, n.cfg.Clock()), n.raft.Term()
+		n.planner, n.plannerTerm = owner.New(n.cfg.Planner, n.cfg.Clock()), n.raft.Term()
 		n.suspects = newSuspects(n.plannerTerm)
 		n.suspects.adopt(n.cfg.Clock(), n.cfg.WallMs(), n.state.Model().Quarantined)
 		n.published = nil
@@ -481,9 +479,7 @@
 
 func (n *Node) notLeader() *proto.Error {
 	e := proto.NotRun(proto.CodeNotLeader, http.StatusMisdirectedRequest, "host %s is not the leader", n.cfg.Self.Host)
-	// A leader whose lease has lapsed names itself until it steps down. Hosts that looked for another one would find this
-	// one again only later.
-	if s := n.status.Load(); s != nil {
+	if s := n.status.Load(); s != nil && s.Leader.ID != n.cfg.Self.ID {
 		e.Leader = s.Leader.Address
 	}
 	return e
--- a/internal/node/suspects.go
+++ b/internal/node/suspects.go
@@ -179,16 +179,6 @@
 	return poison.PermitResponse{}, nil
 }
 
-// PermitRun permits a run of isolated content.
-func (n *Node) PermitRun(q poison.RunPermitRequest) (poison.PermitResponse, error) {
-	n.plannerMu.Lock()
-	defer n.plannerMu.Unlock()
-	if err := n.requireLeader(); err != nil {
-		return poison.PermitResponse{}, err
-	}
-	return poison.PermitResponse{Granted: n.suspects.tracker.PermitRun(n.cfg.Clock(), q)}, nil
-}
-
 // recoverCrashes adds crashes to the crash tracker that a host learned of from an earlier leader. They are ignored once
 // the host has a list of this leader, because the content may have been cleared since. The caller holds plannerMu.
 func (n *Node) recoverCrashes(now time.Duration, q poison.PermitRequest) {
--- a/internal/owner/announce.go
+++ b/internal/owner/announce.go
@@ -23,7 +23,7 @@
 			successor := info
 			rec.successor = &successor
 		} else {
-			p.ended.add(rec.info.Name, rec.info.Incarnation)
+			p.ended.add(rec.info)
 		}
 		if _, ok := s.Upstreams[rec.info.Name]; !ok && !sameName {
 			delete(p.upstreams, rec.info.Name)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -45,8 +45,6 @@
 	// FirstAssignmentDelay delays the first assignment of a service after the latest new upstream announced itself, so
 	// that the others can announce themselves too.
 	FirstAssignmentDelay time.Duration
-	// ElectedAtWallMs is the leader's wall clock at its election, in milliseconds since the Unix epoch.
-	ElectedAtWallMs int64
 	// History is the change history of the replica. Nil selects an empty one.
 	History *History
 }
@@ -138,7 +136,6 @@
 // use.
 type Planner struct {
 	cfg        Config
-	electedAt  time.Duration
 	safeguards safeguards
 	upstreams  map[string]*upstreamRecord
 	hosts      map[string]*entryHost
@@ -156,10 +153,8 @@
 	index       rangeIndex
 	daemons     daemonList
 	ended       endedUpstreams
-	// presumptions holds the upstreams that are presumed to have ended, by name.
-	presumptions map[string]presumption
-	handovers    handovers
-	lastPass     planPass
+	handovers   handovers
+	lastPass    planPass
 	// nextOwner maps the ID of a range that is being moved to the name of the upstream that is to get it.
 	nextOwner map[uint64]string
 	// arrivals holds, by service, when the service's first and its latest upstream first announced themselves to this
@@ -180,10 +175,9 @@
 func newPlanner(cfg Config, guards safeguards, now time.Duration) *Planner {
 	cfg = cfg.withDefaults()
 	p := &Planner{
-		cfg: cfg, electedAt: now, safeguards: guards, upstreams: map[string]*upstreamRecord{}, hosts: map[string]*entryHost{},
+		cfg: cfg, safeguards: guards, upstreams: map[string]*upstreamRecord{}, hosts: map[string]*entryHost{},
 		loads: newLoadTracker(), limits: limit.NewAllocator(now + guards.margin(max(cfg.GrantTTL, cfg.LeaseTTL))),
-		ended: endedUpstreams{}, presumptions: map[string]presumption{}, nextOwner: map[uint64]string{},
-		arrivals: map[string]timeSpan{}, history: cfg.History,
+		ended: endedUpstreams{}, nextOwner: map[uint64]string{}, arrivals: map[string]timeSpan{}, history: cfg.History,
 	}
 	if guards.waitPredecessor {
 		p.predecessorExpiry = now + guards.margin(max(cfg.GrantTTL, cfg.LeaseTTL))
@@ -199,15 +193,12 @@
 // Announce handles an announcement received at the time now and returns the grant according to the committed state.
 func (p *Planner) Announce(now time.Duration, s *model.State, an proto.Announcement) (proto.Grant, *proto.Error) {
 	p.observe(s)
-	if err := p.completeRows(s, &an); err != nil {
-		return proto.Grant{}, err
-	}
 	info := model.Upstream{
 		Name: an.Name, Incarnation: an.Incarnation, Address: an.Address, DataCentre: an.DataCentre,
 		Service: an.Service, Slots: an.Slots, ChecksGrants: an.ChecksGrants,
 	}
 	if p.hasEnded(s, info) {
-		return p.answerEnded(now, s, an)
+		return p.answerEnded(an)
 	}
 	if p.isForeign(s, info) {
 		g := p.emptyGrant()
@@ -238,31 +229,14 @@
 	return g, nil
 }
 
-// completeRows adds the empty list to an announcement without one. Where upstreams list the rows that they hold, one of
-// a keyed service always sends a list, so that an announcement without it is none of its own.
-func (p *Planner) completeRows(s *model.State, an *proto.Announcement) *proto.Error {
-	if an.Rows != nil || !p.cfg.ReliableIncarnations {
-		return nil
-	}
-	if s.Services[an.Service].Keyed {
-		return proto.NotRun(proto.CodeBadRequest, http.StatusBadRequest, "announcement of %s lists no rows", an.Name)
-	}
-	an.Rows = &[]proto.Row{}
-	return nil
-}
-
-// isForeign reports whether an announcement names another service than the process belongs to, or a process that is not
-// known yet names one that does not exist. Nothing is sent to it, and it proves nothing about the upstreams of its name
-// or address.
+// isForeign reports whether a process that is not known yet announces a service that does not exist. Nothing is sent to it,
+// and it proves nothing about the upstreams of its name or address.
 func (p *Planner) isForeign(s *model.State, info model.Upstream) bool {
-	if !p.cfg.ReliableIncarnations {
+	if _, exists := s.Services[info.Service]; exists || len(s.Services) == 0 || !p.cfg.ReliableIncarnations {
 		return false
 	}
-	if rec := p.upstreams[info.Name]; rec != nil && rec.info.Incarnation == info.Incarnation {
-		return rec.info.Service != info.Service
-	}
-	_, exists := s.Services[info.Service]
-	return !exists && len(s.Services) > 0
+	rec := p.upstreams[info.Name]
+	return rec == nil || rec.info.Incarnation != info.Incarnation
 }
 
 // Regrant returns the grant for an announcement that was already handled, according to a state that has changed
@@ -270,7 +244,7 @@
 func (p *Planner) Regrant(now time.Duration, s *model.State, an proto.Announcement) proto.Grant {
 	p.observe(s)
 	rec := p.upstreams[an.Name]
-	if rec == nil || rec.info.Incarnation != an.Incarnation || rec.sequence != an.Sequence || p.completeRows(s, &an) != nil {
+	if rec == nil || rec.info.Incarnation != an.Incarnation || rec.sequence != an.Sequence {
 		return p.emptyGrant()
 	}
 	g := p.grant(now, s, rec, an)
@@ -473,7 +447,7 @@
 	// first in the batch, so that a releasing range of a lost owner gets its new owner in the same commit.
 	membership := p.membershipChanges(now, s)
 	p.loads.refresh(now, p.hosts)
-	return slices.Concat(p.planMoves(now, s), membership, p.recordEnds(now, s))
+	return slices.Concat(p.planMoves(now, s), membership, p.recordEnds(s))
 }
 
 // observe records a new version of the state.
--- a/internal/peer/leader.go
+++ b/internal/peer/leader.go
@@ -23,21 +23,14 @@
 	PathWatch       = "/control/v1/watch"
 	PathPropose     = "/control/v1/propose"
 	PathCrash       = "/control/v1/crash"
-	PathRuns        = "/control/v2/runs"
+	PathRuns        = "/control/v1/runs"
 	PathPermit      = "/control/v1/permit"
-	PathPermitRun   = "/control/v1/permit-run"
-	PathMarkLeaving = "/control/v2/depart"
+	PathMarkLeaving = "/control/v1/depart"
 	PathLeaving     = "/control/v1/leaving"
 	PathChange      = "/control/v1/change"
 	PathItems       = "/control/v1/items"
 )
 
-// Paths on which hosts of an earlier build send their messages.
-const (
-	PathRunsV1        = "/control/v1/runs"
-	PathMarkLeavingV1 = "/control/v1/depart"
-)
-
 // LeaderClient sends messages to the leader and follows leadership changes. It is safe for concurrent use.
 type LeaderClient struct {
 	client *http.Client
@@ -100,8 +93,8 @@
 	return callLeader[Q, R](ctx, l, path, timeout, message, true)
 }
 
-// ReportToLeader is like CallLeader for a message beside others. A leader that does not answer it in time is kept,
-// because it may be busy and answer the others.
+// ReportToLeader is like CallLeader for a message beside others. A leader that does not answer it in time is kept, because
+// it may be busy and answer the others.
 func ReportToLeader[Q, R any](
 	ctx context.Context, l *LeaderClient, path string, timeout time.Duration, message Q,
 ) (R, error) {
--- a/internal/poison/chains.go
+++ b/internal/poison/chains.go
@@ -5,30 +5,27 @@
 	"math"
 	"slices"
 	"time"
-
-	"baobabreach/pkg/proto"
 )
 
 const (
-	// isolateProcesses is the number of crashed processes from which content runs on one upstream at a time.
-	isolateProcesses = 2
 	// suspectCrashes is the number of consecutive crashes from which a request is not sent to another upstream after a
 	// broken connection, and quarantineCrashes the number from which its content is refused.
 	suspectCrashes    = 2
 	quarantineCrashes = 3
-	// unsteadyCrashes replaces quarantineCrashes while upstreams crash without the content at least as often. Fewer are
-	// enough for isolated content with which as many processes have crashed.
-	unsteadyCrashes         = 5
-	unsteadyIsolatedCrashes = 4
+	// unsteadyCrashes replaces quarantineCrashes while upstreams crash without the content at least as often.
+	unsteadyCrashes = 5
 	// suspicionTime is how long content must have been suspected before it is quarantined, so that hosts can report that
 	// upstreams have survived it.
 	suspicionTime = 500 * time.Millisecond
 	// sameEventTime is the time within which crashes of several upstreams count as one event, like the loss of a rack.
 	sameEventTime = 250 * time.Millisecond
-	// maxReportDelay is the longest time that a report takes to the leader. Times of two hosts can only be compared up to
-	// it, and hostTolerance allows for the resolution of the times of one host.
+	// maxReportDelay is the longest time that a report takes to the leader. Times of two hosts can only be compared up to it,
+	// and hostTolerance allows for the resolution of the times of one host.
 	maxReportDelay = 250 * time.Millisecond
 	hostTolerance  = 2 * time.Millisecond
+	// lateReportTime is how long after its end a report of a process may still be on its way. A later one proves that the
+	// process has not ended.
+	lateReportTime = time.Second
 	// maxChainRuns limits the runs that are kept for one content.
 	maxChainRuns = 16
 )
@@ -41,10 +38,6 @@
 	Fingerprints []string
 	// SentAt is when the request was sent and EndedAt when its connection broke.
 	SentAt, EndedAt time.Duration
-	// Alone is true if the run had the permit of the leader, so that it began after the end of the runs before it.
-	Alone bool
-	// Survived holds those of the fingerprints whose content has survived a run on the host before.
-	Survived []string
 }
 
 // Conviction is the decision to quarantine content.
@@ -58,8 +51,8 @@
 type chain struct {
 	// runs is sorted by EndedAt and has each process once.
 	runs []Crash
-	// isolatedAt and suspectedAt are when the content was first isolated and first suspected.
-	isolatedAt, suspectedAt time.Duration
+	// suspectedAt is when the content was first suspected.
+	suspectedAt time.Duration
 	// quarantinedUntil is 0 if the content may run.
 	quarantinedUntil time.Duration
 	expiresAt        time.Duration
@@ -79,28 +72,21 @@
 
 // beganAfter reports whether the run was certainly sent after the upstream of another one had ended.
 func (c Crash) beganAfter(other Crash) bool {
-	switch {
-	case c.Host == other.Host:
+	if c.Host == other.Host {
 		return c.SentAt >= other.EndedAt-hostTolerance
-	case c.Alone:
-		return c.SentAt >= other.EndedAt-maxReportDelay
 	}
 	return c.SentAt >= other.EndedAt+maxReportDelay
 }
 
 // Chains finds content that crashes each upstream that runs it. Unlike a Tracker it does not isolate requests: content is
 // quarantined after consecutive crashes of different processes, of which each run began after the crash before, without
-// a run in between that the upstream survived. Content with which several processes have crashed together runs on one
-// upstream at a time from then on. It is not safe for concurrent use.
+// a run in between that the upstream survived. It is not safe for concurrent use.
 type Chains struct {
 	contents map[string]*chain
 	// listed holds at least the suspected and quarantined content.
 	listed map[string]bool
 	// crashed holds the recent crashes of all contents by process.
 	crashed map[Process]Crash
-	// survivors holds content that has survived a run. Where several upstreams crash with it together, they do so for
-	// another reason, so it is not isolated.
-	survivors survivors
 	// version changes with every change of the suspected or quarantined content.
 	version uint64
 	// nextExpiry is a time before which nothing expires.
@@ -125,9 +111,6 @@
 			c.contents[f] = s
 		}
 		before, _ := c.Check(now, f)
-		if slices.Contains(crash.Survived, f) {
-			c.survivors.add(now, f)
-		}
 		s.add(crash)
 		s.expiresAt = max(s.expiresAt, now+WatchTTL)
 		c.nextExpiry = min(c.nextExpiry, s.expiresAt)
@@ -182,26 +165,14 @@
 // judge quarantines content with enough consecutive crashes. A service whose upstreams crash anyway needs more of them.
 func (c *Chains) judge(now time.Duration, fingerprint string, s *chain) (Conviction, bool) {
 	v := Conviction{Fingerprint: fingerprint, Crashes: s.crashes()}
-	if len(s.runs) >= isolateProcesses && s.isolatedAt == 0 {
-		s.isolatedAt = now
-	}
 	if v.Crashes >= suspectCrashes && s.suspectedAt == 0 {
 		s.suspectedAt = now
 	}
-	since := s.suspectedAt
-	if s.runs[len(s.runs)-1].Alone {
-		since = s.isolatedAt
-	}
-	if s.quarantinedUntil > now || v.Crashes < quarantineCrashes || now < since+suspicionTime {
+	if s.quarantinedUntil > now || v.Crashes < quarantineCrashes || now < s.suspectedAt+suspicionTime {
 		return v, false
 	}
 	v.OtherEvents = c.otherEvents(s)
-	survivor := c.survivors.has(now, fingerprint)
-	required := unsteadyCrashes
-	if len(s.runs) >= unsteadyCrashes && !survivor {
-		required = unsteadyIsolatedCrashes
-	}
-	if (survivor || v.OtherEvents >= v.Crashes) && v.Crashes < required {
+	if v.OtherEvents >= v.Crashes && v.Crashes < unsteadyCrashes {
 		return v, false
 	}
 	s.quarantinedUntil = now + QuarantineTTL
@@ -210,8 +181,7 @@
 	return v, true
 }
 
-// otherEvents counts the crashes since the first run of a chain that neither its content nor quarantined content
-// explains.
+// otherEvents counts the crashes since the first run of a chain that neither its content nor quarantined content explains.
 func (c *Chains) otherEvents(s *chain) int {
 	var times []time.Duration
 	for p, crash := range c.crashed {
@@ -242,15 +212,13 @@
 	before, _ := c.Check(now, fingerprint)
 	delete(c.contents, fingerprint)
 	c.countChange(now, fingerprint, before)
-	c.survivors.add(now, fingerprint)
 }
 
-// RecordReport removes the crash of a process whose report arrives at now and can't have been sent before the crash, so
-// that the process has not ended: it may have refused connections because of a cut. It returns true if content is no
-// longer quarantined.
+// RecordReport removes the crash of a process that has reported at now and so has not ended. A process that reports may have
+// refused connections because of a cut. It returns true if content is no longer quarantined.
 func (c *Chains) RecordReport(now time.Duration, p Process) bool {
 	crash, ok := c.crashed[p]
-	if !ok || now < crash.EndedAt+proto.MaxMessageDelay {
+	if !ok || now < crash.EndedAt+lateReportTime {
 		return false
 	}
 	delete(c.crashed, p)
@@ -293,7 +261,8 @@
 	}
 }
 
-// Check returns the verdict on content, with the time left for quarantined content.
+// Check returns the verdict on content: VerdictIsolate for suspected content, and VerdictRefuse with the time left for
+// quarantined content.
 func (c *Chains) Check(now time.Duration, fingerprint string) (Verdict, time.Duration) {
 	s := c.contents[fingerprint]
 	switch {
@@ -301,19 +270,17 @@
 		return VerdictRun, 0
 	case now < s.quarantinedUntil:
 		return VerdictRefuse, s.quarantinedUntil - now
-	case len(s.runs) >= isolateProcesses && !c.survivors.has(now, fingerprint):
-		return VerdictIsolate, 0
 	case s.crashes() >= suspectCrashes:
-		return VerdictSuspect, 0
+		return VerdictIsolate, 0
 	}
 	return VerdictRun, 0
 }
 
-// Listed returns the content with the verdict, sorted.
-func (c *Chains) Listed(now time.Duration, verdict Verdict) []string {
+// Suspected returns the suspected content, sorted.
+func (c *Chains) Suspected(now time.Duration) []string {
 	var out []string
 	for f := range c.listed {
-		if v, _ := c.Check(now, f); v == verdict {
+		if v, _ := c.Check(now, f); v == VerdictIsolate {
 			out = append(out, f)
 		}
 	}
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -13,9 +13,7 @@
 const (
 	// VerdictRun means that the content may run on any upstream.
 	VerdictRun Verdict = "run"
-	// VerdictSuspect means that the content is not sent to another upstream after a broken connection. Only Chains gives it.
-	VerdictSuspect Verdict = "suspect"
-	// VerdictIsolate means in addition that the content may run only with a permit.
+	// VerdictIsolate means that the content may run only with a permit for the upstream.
 	VerdictIsolate Verdict = "isolate"
 	// VerdictRefuse means that the content is quarantined and must not run.
 	VerdictRefuse Verdict = "refuse"
@@ -124,9 +122,9 @@
 // Version returns the version of the list in use.
 func (g *Guard) Version() uint64 { return g.version }
 
-// Update applies a list of the leader. A new leader starts with an empty list. With its first list, Update returns
-// reports of the suspects that this host knows of and the list lacks. This host keeps isolating or refusing them until
-// the new leader lists them or they expire.
+// Update applies a list of the leader. A new leader starts with an empty list. With its first list, Update returns reports
+// of the suspects that this host knows of and the list lacks. This host keeps isolating or refusing them until the new
+// leader lists them or they expire.
 func (g *Guard) Update(now time.Duration, l List, newLeader bool) []Report {
 	if newLeader {
 		for f, ps := range g.watched {
--- a/internal/poison/runs.go
+++ b/internal/poison/runs.go
@@ -16,8 +16,6 @@
 	Survived []string `json:"survived,omitempty"`
 	// Quarantined holds the content that an earlier leader had quarantined.
 	Quarantined []Quarantine `json:"quarantined,omitempty"`
-	// Ended holds the holders of permits whose runs have ended.
-	Ended []string `json:"ended,omitempty"`
 }
 
 // CrashedRun is a Crash whose times are in milliseconds before the report.
@@ -26,15 +24,13 @@
 	Fingerprints []string `json:"fingerprints"`
 	SentAgoMs    int64    `json:"sent_ago_ms"`
 	EndedAgoMs   int64    `json:"ended_ago_ms"`
-	Alone        bool     `json:"alone,omitempty"`
-	Survived     []string `json:"survived,omitempty"`
 }
 
 func (r CrashedRun) crash(now time.Duration, host string) Crash {
 	age := func(ms int64) time.Duration { return min(WatchTTL, max(0, time.Duration(ms)*time.Millisecond)) }
 	return Crash{
 		Host: host, Process: r.Process, Fingerprints: r.Fingerprints, SentAt: now - age(r.SentAgoMs),
-		EndedAt: now - age(r.EndedAgoMs), Alone: r.Alone, Survived: r.Survived,
+		EndedAt: now - age(r.EndedAgoMs),
 	}
 }
 
@@ -45,16 +41,13 @@
 		r.Crashes = append(r.Crashes, CrashedRun{
 			Process: c.Process, Fingerprints: c.Fingerprints,
 			SentAgoMs: (now - c.SentAt).Milliseconds(), EndedAgoMs: (now - c.EndedAt).Milliseconds(),
-			Alone: c.Alone, Survived: c.Survived,
 		})
 	}
 	return r
 }
 
 // Empty reports whether there is nothing to report.
-func (r RunReport) Empty() bool {
-	return len(r.Crashes)+len(r.Survived)+len(r.Quarantined)+len(r.Ended) == 0
-}
+func (r RunReport) Empty() bool { return len(r.Crashes)+len(r.Survived)+len(r.Quarantined) == 0 }
 
 // ReportRuns applies the report of a host that does not isolate requests. It returns the content that is quarantined
 // because of it.
@@ -67,7 +60,6 @@
 	for _, f := range r.Survived {
 		t.chains.RecordSurvival(now, f)
 	}
-	t.endRuns(r.Ended)
 	t.expire(now)
 	return out
 }
@@ -95,23 +87,22 @@
 // leader. It is not safe for concurrent use.
 type Monitor struct {
 	own *Chains
-	// version is that of the last list. isolated and quarantined hold its content, the former with VerdictIsolate or
-	// VerdictSuspect, the latter with the end of the quarantine.
+	// version is that of the last list. suspected and quarantined hold its content, the latter with the end of the quarantine.
 	version     uint64
-	isolated    map[string]Verdict
+	suspected   map[string]bool
 	quarantined map[string]time.Duration
 }
 
 // NewMonitor returns a monitor without a list.
 func NewMonitor() *Monitor {
-	return &Monitor{own: NewChains(), isolated: map[string]Verdict{}, quarantined: map[string]time.Duration{}}
+	return &Monitor{own: NewChains(), suspected: map[string]bool{}, quarantined: map[string]time.Duration{}}
 }
 
 // Version returns the version of the last list.
 func (m *Monitor) Version() uint64 { return m.version }
 
 // Idle reports whether no content is known, so that Check would let any content run.
-func (m *Monitor) Idle() bool { return len(m.own.contents)+len(m.isolated)+len(m.quarantined) == 0 }
+func (m *Monitor) Idle() bool { return len(m.own.contents)+len(m.suspected)+len(m.quarantined) == 0 }
 
 // Check returns the strictest verdict on the fingerprints of one request, and the time left if it is refused.
 func (m *Monitor) Check(now time.Duration, fingerprints []string) (Verdict, time.Duration) {
@@ -121,57 +112,30 @@
 		if until := m.quarantined[f]; now < until {
 			v, l = VerdictRefuse, max(l, until-now)
 		}
-		verdict, left = stricter(verdict, stricter(v, m.isolated[f])), max(left, l)
+		switch {
+		case v == VerdictRefuse:
+			verdict, left = VerdictRefuse, max(left, l)
+		case (v == VerdictIsolate || m.suspected[f]) && verdict == VerdictRun:
+			verdict = VerdictIsolate
+		}
 	}
 	return verdict, left
 }
 
-// stricter returns the stricter one of two verdicts. The empty one is the least strict.
-func stricter(a, b Verdict) Verdict {
-	order := []Verdict{"", VerdictRun, VerdictSuspect, VerdictIsolate, VerdictRefuse}
-	if slices.Index(order, a) < slices.Index(order, b) {
-		return b
-	}
-	return a
-}
-
 // RecordCrash adds a crash that this host has seen, and returns the content that this host refuses because of it.
 func (m *Monitor) RecordCrash(now time.Duration, crash Crash) []Conviction {
 	return m.own.Record(now, crash)
 }
 
-// Isolated returns those of the fingerprints whose content runs with a permit only.
-func (m *Monitor) Isolated(now time.Duration, fingerprints []string) []string {
-	var out []string
-	for _, f := range fingerprints {
-		if v, _ := m.Check(now, []string{f}); v == VerdictIsolate {
-			out = append(out, f)
-		}
-	}
-	return out
-}
-
-// Survivors returns those of the fingerprints whose content has survived a run on this host.
-func (m *Monitor) Survivors(now time.Duration, fingerprints []string) []string {
-	var out []string
-	for _, f := range fingerprints {
-		if m.own.survivors.has(now, f) {
-			out = append(out, f)
-		}
-	}
-	return out
-}
-
 // RecordSurvival clears content that an upstream has run without ending, and returns what the leader has to know of it.
 func (m *Monitor) RecordSurvival(now time.Duration, fingerprints []string) []string {
 	var out []string
 	for _, f := range fingerprints {
-		m.own.survivors.add(now, f)
-		if m.own.contents[f] == nil && m.isolated[f] == "" && m.quarantined[f] == 0 {
+		if m.own.contents[f] == nil && !m.suspected[f] && m.quarantined[f] == 0 {
 			continue
 		}
 		m.own.RecordSurvival(now, f)
-		delete(m.isolated, f)
+		delete(m.suspected, f)
 		delete(m.quarantined, f)
 		out = append(out, f)
 	}
@@ -203,12 +167,9 @@
 			}
 		}
 	}
-	m.quarantined, m.isolated = listed, map[string]Verdict{}
+	m.quarantined, m.suspected = listed, map[string]bool{}
 	for _, f := range l.Suspected {
-		m.isolated[f] = VerdictSuspect
-	}
-	for _, f := range l.Isolated {
-		m.isolated[f] = VerdictIsolate
+		m.suspected[f] = true
 	}
 	if !newLeader {
 		m.liftOwn(now)
@@ -222,7 +183,7 @@
 // liftOwn ends the quarantine by this host of content that the leader has cleared since.
 func (m *Monitor) liftOwn(now time.Duration) {
 	for _, q := range m.own.Quarantined(now) {
-		if m.quarantined[q.Fingerprint] == 0 && m.isolated[q.Fingerprint] == "" {
+		if m.quarantined[q.Fingerprint] == 0 && !m.suspected[q.Fingerprint] {
 			m.own.lift(now, q.Fingerprint, reportTime)
 		}
 	}
--- a/internal/poison/suspects.go
+++ b/internal/poison/suspects.go
@@ -59,10 +59,8 @@
 	Version     uint64       `json:"version"`
 	Watched     []string     `json:"watched"`
 	Quarantined []Quarantine `json:"quarantined"`
-	// Isolated holds content that runs with a permit only, and Suspected other content with consecutive crashes that is not
-	// quarantined yet.
+	// Suspected holds content with consecutive crashes that is not quarantined yet.
 	Suspected []string `json:"suspected,omitempty"`
-	Isolated  []string `json:"isolated,omitempty"`
 	// Crashes holds the sorted crashed processes of each watched fingerprint. The hosts report them to the next leader.
 	Crashes map[string][]Process `json:"crashes,omitempty"`
 }
@@ -92,8 +90,6 @@
 	// chains holds the crashes of hosts that do not isolate requests, and chainsVersion is that of its content in version.
 	chains        *Chains
 	chainsVersion uint64
-	// runPermits holds the runs of isolated content, by content.
-	runPermits map[string]runPermit
 	// ignorePermits quarantines content that crashed without a permit. Only tests set it, to verify that the permit is
 	// necessary.
 	ignorePermits bool
@@ -114,7 +110,6 @@
 func NewTracker(firstVersion uint64) *Tracker {
 	return &Tracker{
 		version: firstVersion, suspects: map[string]*suspect{}, permits: map[string]permit{}, chains: NewChains(),
-		runPermits: map[string]runPermit{},
 	}
 }
 
@@ -208,8 +203,7 @@
 		l.Watched = append(l.Watched, f)
 		l.Crashes[f] = slices.SortedFunc(maps.Keys(s.crashes), Process.compare)
 	}
-	l.Suspected, l.Isolated = t.chains.Listed(now, VerdictSuspect), t.chains.Listed(now, VerdictIsolate)
-	l.Quarantined = append(l.Quarantined, t.chains.Quarantined(now)...)
+	l.Suspected, l.Quarantined = t.chains.Suspected(now), append(l.Quarantined, t.chains.Quarantined(now)...)
 	sort.Strings(l.Watched)
 	sort.Slice(l.Quarantined, func(i, j int) bool { return l.Quarantined[i].Fingerprint < l.Quarantined[j].Fingerprint })
 	return l
@@ -229,7 +223,6 @@
 		}
 	}
 	t.chains.expire(now)
-	t.expireRunPermits(now)
 	t.countChainChanges()
 }
 
--- a/internal/soak/crash.go
+++ b/internal/soak/crash.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -24,8 +23,8 @@
 	crashInterval = 300 * time.Millisecond
 	// stableWindow is how long after the third crash the fleet may take to stop the request.
 	stableWindow = 3 * time.Second
-	// crashesBeforeStop is the number of crashes after which the fleet must know the request, and maxLateCrashes how often
-	// it may still reach an upstream later than stableWindow after that.
+	// crashesBeforeStop is the number of crashes after which the fleet must know the request, and maxLateCrashes how often it
+	// may still reach an upstream later than stableWindow after that.
 	crashesBeforeStop = 3
 	maxLateCrashes    = 3
 	crashTestOrders   = 12
@@ -46,10 +45,6 @@
 	SameID bool
 	// NewQuery gives each request a query of its own.
 	NewQuery bool
-	// Copies is the number of requests that are sent at once, one if it is 0, and Interval the time until the next ones,
-	// crashInterval if it is 0.
-	Copies   int
-	Interval time.Duration
 	// Disturb is called halfway, or not at all if it is nil.
 	Disturb func(r *Run) error
 }
@@ -114,16 +109,9 @@
 				}
 			}
 			hosts := r.fleet.EntryHosts()
-			var copies sync.WaitGroup
-			for k := range max(1, crash.Copies) {
-				h := hosts[(i+k)%len(hosts)]
-				copies.Go(func() {
-					status := r.sendCrashing(ctx, c, h, crash, fmt.Sprintf("crash-%d-%d", i, k))
-					r.recordEvent("crashing request %d, copy %d, to %s: %d", i, k, h.Name, status)
-				})
-			}
-			copies.Wait()
-			time.Sleep(cmp.Or(crash.Interval, crashInterval))
+			status := r.sendCrashing(ctx, c, hosts[i%len(hosts)], crash, fmt.Sprintf("crash-%d", i))
+			r.recordEvent("crashing request %d to %s: %d", i, hosts[i%len(hosts)].Name, status)
+			time.Sleep(crashInterval)
 		}
 		all, late := recorder.counts()
 		answered, failed := r.checker.Counts()
@@ -276,8 +264,8 @@
 	// massCrashes is how often all upstreams of orders end at once, massCrashInterval the time between two of them.
 	massCrashes       = 3
 	massCrashInterval = 4 * time.Second
-	// afterCrashes is how long the request is repeated after the last upstreams have come back, and serviceAfter the share
-	// of these requests that must be served.
+	// afterCrashes is how long the request is repeated after the last upstreams have come back, and serviceAfter the share of
+	// these requests that must be served.
 	afterCrashes = 4 * time.Second
 	serviceAfter = 0.99
 )
--- a/internal/soak/reports.go
+++ b/internal/soak/reports.go
@@ -19,13 +19,11 @@
 	maxLateness = 6 * time.Second
 )
 
-// RunLateReports lets upstreams leave while replicas are stopped or killed, and delivers reports from before the leave
-// late, once more and in any order. Some upstreams are cut off before they leave, some start again under their ID while
-// their notice is held up, and another writer reports about others.
+// RunLateReports lets upstreams leave while replicas are stopped or killed, and delivers reports from before the leave late,
+// once more and in any order.
 func RunLateReports(cfg Config, seed uint64) (*Run, []string, error) {
 	r := newRun(cfg, seed)
 	return r.run(func(context.Context) error {
-		defer r.background.Wait()
 		for range lateRounds {
 			if err := r.lateRound(); err != nil {
 				return err
@@ -46,26 +44,16 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	sent := u.reports()
-	switch r.random.IntN(4) {
-	case 0:
+	if r.random.IntN(2) == 0 {
 		r.recordEvent("%s leaves", u.id)
 		if !u.Leave() {
 			return nil
 		}
 		time.AfterFunc(serveAfterLeave, u.Kill)
-	case 1:
+	} else {
 		r.recordEvent("%s drains", u.id)
 		u.Drain()
-	case 2:
-		if !r.leaveAfterCut(u) {
-			return nil
-		}
-	default:
-		if err := r.restartDuringNotice(u); err != nil {
-			return err
-		}
 	}
-	r.deliverOddReports()
 	for range lateReports {
 		body, delay := sent[r.random.IntN(len(sent))], time.Duration(r.random.Int64N(int64(maxLateness)))
 		registry := u.group.registries[r.random.IntN(len(u.group.registries))]
@@ -109,11 +97,10 @@
 	return false
 }
 
-// reportsNoMore reports whether the upstream has left or was cut off.
-func (u *Upstream) reportsNoMore() bool {
+func (u *Upstream) hasLeft() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.left || u.cutOff
+	return u.left
 }
 
 func (u *Upstream) reports() [][]byte {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -36,10 +36,7 @@
 	afterStart func() error
 	// Events lists the injected faults, to be printed if the run fails.
 	Events    []string
-	eventsMu  sync.Mutex
 	startedAt time.Time
-	// background holds what goes on beside the faults and ends before the run.
-	background sync.WaitGroup
 }
 
 const (
@@ -141,8 +138,6 @@
 func (r *Run) Counts() (answered, failed int) { return r.checker.Counts() }
 
 func (r *Run) recordEvent(format string, args ...any) {
-	r.eventsMu.Lock()
-	defer r.eventsMu.Unlock()
 	r.Events = append(r.Events, fmt.Sprintf("%6d ms ", time.Since(r.startedAt).Milliseconds())+fmt.Sprintf(format, args...))
 }
 
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -11,7 +11,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -34,8 +33,8 @@
 	hostSeparator = "@"
 )
 
-// UpstreamGroup holds the upstreams of a run. Each upstream can look up the key ranges of the others, to check that no
-// two of them hold one key at the same time.
+// UpstreamGroup holds the upstreams of a run. Each upstream can look up the key ranges of the others, to check that no two
+// of them hold one key at the same time.
 type UpstreamGroup struct {
 	checker    *Checker
 	registries []string
@@ -96,17 +95,13 @@
 	killed, draining bool
 	// left is true once the upstream announced that it leaves without draining. It goes on to serve and reports no more.
 	left bool
-	// cutOff is true if the upstream reports no more, while it serves and holds what it was granted.
-	cutOff bool
 	// sent holds the latest reports.
 	sent [][]byte
-	// executions counts the requests that the upstream has executed.
-	executions atomic.Int64
 	// silent is true if the upstream answers no request.
 	silent       bool
 	drainAckedAt time.Time
-	// saysLeaving is true if the answers say that the upstream leaves, while its reports say that it is ready.
-	// leavingSince is the time of the first such answer.
+	// saysLeaving is true if the answers say that the upstream leaves, while its reports say that it is ready. leavingSince is
+	// the time of the first such answer.
 	saysLeaving  bool
 	leavingSince time.Time
 	// turnAway is the Retry-After time with which the upstream refuses all requests, or 0. pauses holds the pause of each
@@ -310,7 +305,6 @@
 		}
 		u.group.checkExclusive(u, key)
 	}
-	u.executions.Add(1)
 	u.group.checker.RecordExecution(id, u.id, r.Method == http.MethodPost)
 	if crash := u.group.crashFunc(); crash != nil && strings.HasSuffix(r.URL.Path, crashTarget) {
 		crash(u)
@@ -328,7 +322,7 @@
 
 func (u *Upstream) reportLoop() {
 	registryIndex := 0
-	for u.ctx.Err() == nil && !u.reportsNoMore() {
+	for u.ctx.Err() == nil && !u.hasLeft() {
 		delay := heartbeatInterval
 		ok := u.report(&registryIndex)
 		u.mu.Lock()
@@ -366,13 +360,9 @@
 			held = append(held, r[:3])
 		}
 	}
-	released := u.released
-	if released == nil {
-		released = [][]any{}
-	}
 	body, err := json.Marshal(map[string]any{
 		"Service": u.service, "Address": u.address, "Zone": "z", "Version": "v1", "Slots": 4, "State": state,
-		"WarmupLeft": "0ms", "Sequence": u.sequence, "born": u.incarnation, "Holds": held, "Released": released,
+		"WarmupLeft": "0ms", "Sequence": u.sequence, "born": u.incarnation, "Holds": held, "Released": u.released,
 	})
 	target := u.heartbeatURL
 	u.sent = append(u.sent, body)
--- a/internal/state/ranges.go
+++ b/internal/state/ranges.go
@@ -11,8 +11,7 @@
 type Remove struct {
 	Name        string `json:"name"`
 	Incarnation uint64 `json:"incarnation"`
-	// LossConfirmed confirms that the process has ended. The confirmation comes from an operator or a successor at its
-	// address.
+	// LossConfirmed confirms that the process has ended. The confirmation comes from an operator or a successor at its address.
 	LossConfirmed bool `json:"lost,omitempty"`
 }
 
@@ -26,15 +25,6 @@
 type End struct {
 	Name        string `json:"name"`
 	Incarnation uint64 `json:"incarnation"`
-	// Presumed is true if the notice named no incarnation, and AtMs is then when it arrived, by the leader's wall clock in
-	// milliseconds since the Unix epoch.
-	Presumed bool  `json:"presumed,omitempty"`
-	AtMs     int64 `json:"at_ms,omitempty"`
-}
-
-// WithdrawEnd withdraws the presumed end of an upstream that has shown that it runs.
-type WithdrawEnd struct {
-	Name string `json:"name"`
 }
 
 // Assign makes an upstream the owner of a free or releasing range. It is rejected if the range no longer has Epoch.
@@ -177,19 +167,14 @@
 		}
 	}
 	s := m.model.WithoutUpstream(c.Name, index)
-	if u.LeavingSince > 0 && !s.IsPresumedEnded(u.Name, u.Incarnation) {
+	if u.LeavingSince > 0 {
 		s = s.WithEnded(u.Name, u.Incarnation, index)
 	}
 	return m.setModel(s)
 }
 
 func (m *Machine) end(index uint64, c End) Result {
-	var s *model.State
-	if c.Presumed {
-		s = m.model.WithPresumedEnd(c.Name, c.Incarnation, index, c.AtMs)
-	} else {
-		s = m.model.WithEnded(c.Name, c.Incarnation, index)
-	}
+	s := m.model.WithEnded(c.Name, c.Incarnation, index)
 	if u, ok := s.Upstreams[c.Name]; ok && u.Incarnation <= c.Incarnation && u.LeavingSince == 0 {
 		u.LeavingSince = index
 		s = s.WithUpstream(u)
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -23,7 +23,6 @@
 	Merge        *Merge          `json:"merge,omitempty"`
 	Leave        *Leave          `json:"leave,omitempty"`
 	End          *End            `json:"end,omitempty"`
-	WithdrawEnd  *WithdrawEnd    `json:"withdraw_end,omitempty"`
 	Service      *model.Service  `json:"service,omitempty"`
 	Limit        *model.Limit    `json:"limit,omitempty"`
 	Claim        *Claim          `json:"claim,omitempty"`
@@ -158,7 +157,7 @@
 	case c.Outcome != nil:
 		r := m.claims.Record(c.Outcome.ID, c.Outcome.Holder, c.Outcome.Answer)
 		return Result{Applied: true, Claim: &r}
-	case c.Register != nil || c.Remove != nil || c.Leave != nil || c.End != nil || c.WithdrawEnd != nil:
+	case c.Register != nil || c.Remove != nil || c.Leave != nil || c.End != nil:
 		return m.applyUpstream(index, c)
 	case c.Service != nil || c.Limit != nil || c.Items != nil || c.Quarantine != nil:
 		return m.applySettings(c)
@@ -184,8 +183,6 @@
 		return m.remove(index, *c.Remove)
 	case c.End != nil:
 		return m.end(index, *c.End)
-	case c.WithdrawEnd != nil:
-		return m.setModel(m.model.WithoutPresumedEnd(c.WithdrawEnd.Name))
 	}
 	return m.leave(index, *c.Leave)
 }
--- a/pkg/proto/proto.go
+++ b/pkg/proto/proto.go
@@ -38,8 +38,6 @@
 	AnnounceInterval = 200 * time.Millisecond
 	// DriftMarginPercent bounds the difference between the clock rates of two hosts.
 	DriftMarginPercent = 2
-	// MaxMessageDelay is the longest time for which a message of an upstream may be on its way. Partitions hold messages up.
-	MaxMessageDelay = 15 * time.Second
 )
 
 // WithDrift lengthens d by the clock-drift margin.
@@ -83,13 +81,6 @@
 	Gone bool `json:"gone,omitempty"`
 }
 
-// LeaveNotice says that an upstream is about to exit.
-type LeaveNotice struct {
-	Name string `json:"name"`
-	// Incarnation is that of the process that sent the notice, or 0 if the notice doesn't say.
-	Incarnation uint64 `json:"incarnation,omitempty"`
-}
-
 // Row is an interval of key positions that an upstream holds. First and Last are inclusive.
 type Row struct {
 	First uint64 `json:"first"`
