pipe: a reset during an upload is not the end of a response

Callers saw: an upstream that answers an upload at once with a 200 without a length, sends 5 bytes of the body and resets the connection.

Cause: a request body above 16 KiB is written while the response is read. Linux reports a reset once, to the call that comes first. If that is the write, the read gets the end of the stream, as after an orderly close, and a response without a length ends there. The error of the write only kept the connection from being reused.

Fix: strict.Conn keeps the failure that a write took. A read that meets the end of the stream first ends a write that still waits (it has taken no failure) and returns the kept failure in place of the end. EPIPE doesn't count: after a FIN the kernel reports a reset as EPIPE, and the response was whole by then.

--- a/internal/pipe/conn.go
+++ b/internal/pipe/conn.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"baobabreach/internal/room"
+	"baobabreach/internal/strict"
 
 	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
@@ -27,7 +28,7 @@
 
 // conn is a connection to an upstream; it carries one request at a time.
 type conn struct {
-	net.Conn
+	*strict.Conn
 	br *bufio.Reader
 	// limit bounds what br reads from Conn.
 	limit *limitedReader
@@ -37,8 +38,9 @@
 }
 
 func newConn(c net.Conn) *conn {
-	l := &limitedReader{r: c}
-	return &conn{Conn: c, br: bufio.NewReaderSize(l, readBufferBytes), limit: l}
+	sc := strict.NewConn(c)
+	l := &limitedReader{r: sc}
+	return &conn{Conn: sc, br: bufio.NewReaderSize(l, readBufferBytes), limit: l}
 }
 
 // errHeadTooLarge means that the upstream sent more bytes than the limit before the end of the response head.
@@ -86,7 +88,7 @@
 	if c.br.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.Conn.(syscall.Conn)
+	sc, ok := c.Conn.Conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
