wire, daemon, cmds: a reset while a message is sent is not the end of its answer

Cause: http.Transport writes a request while it reads the response. It drops the error of the write once the response head is there, and the body without a length ends where the read meets the end of the stream.

Fix: strict.Transport dials connections of type strict.Conn. The clients for other daemons, the requests to upstreams of the own interface and the command line use it, so that each reader has the check where it dials. net/http still parses.

--- a/internal/cmds/client.go
+++ b/internal/cmds/client.go
@@ -15,6 +15,7 @@
 	"baobabreach/internal/errs"
 	"baobabreach/internal/intent"
 	"baobabreach/internal/peer"
+	"baobabreach/internal/strict"
 
 	"github.com/go-faster/errors"
 )
@@ -64,7 +65,10 @@
 	if token != "" {
 		req.Header.Set("Authorization", "Bearer "+token)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	client := http.Client{Transport: strict.NewTransport(&http.Transport{
+		Proxy: http.ProxyFromEnvironment, DisableKeepAlives: true,
+	})}
+	resp, err := client.Do(req)
 	if err != nil {
 		return result, errors.Wrap(err, "send request to daemon")
 	}
--- /dev/null
+++ b/internal/daemon/clients_test.go
@@ -0,0 +1,39 @@
+package daemon_test
+
+import (
+	"bytes"
+	"net/http"
+	"testing"
+
+	"baobabreach/internal/config"
+	"baobabreach/internal/daemon"
+	"baobabreach/internal/peer"
+	"baobabreach/internal/stub"
+
+	"github.com/matryer/is"
+)
+
+// Guards against an answer of another daemon that is reset while a large message is sent to it and passes for a whole one.
+func TestAnswerOfAPeerThatIsResetIsNotWhole(t *testing.T) {
+	is := is.New(t)
+	l, err := stub.ListenWithSmallBuffers()
+	is.NoErr(err)
+	t.Cleanup(func() { _ = l.Close() })
+	go stub.RawServer{Respond: func(*http.Request) stub.RawResponse {
+		return stub.RawResponse{Bytes: "HTTP/1.1 200 OK\r\n\r\n{}", Early: true, End: stub.RawReset}
+	}}.Serve(l)
+	message := bytes.Repeat([]byte("x"), 1<<20)
+	for name, client := range daemon.PeerClients(config.Config{}) {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			const calls = 200
+			whole := 0
+			for range calls {
+				if _, err := peer.Call[[]byte, struct{}](t.Context(), client, "http://"+l.Addr().String()+"/", "", message); err == nil {
+					whole++
+				}
+			}
+			is.Equal(whole, 0)
+		})
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -33,6 +33,7 @@
 	"baobabreach/internal/slots"
 	"baobabreach/internal/state"
 	"baobabreach/internal/store"
+	"baobabreach/internal/strict"
 
 	"github.com/go-faster/errors"
 
@@ -158,6 +159,7 @@
 	control *http.Client
 	// dispatch sends credits and relayed requests. It is separate because these may be many and large.
 	dispatch *http.Client
+	// upstream is for package wire, which makes it strict.
 	upstream *http.Client
 }
 
@@ -172,14 +174,14 @@
 
 func newClients(cfg config.Config, dial DialFunc, m *metric.Registry) clients {
 	return clients{
-		control: &http.Client{Transport: &http.Transport{
+		control: &http.Client{Transport: strict.NewTransport(&http.Transport{
 			DialContext: newCountedDial(dial, m), MaxIdleConnsPerHost: maxIdlePerHost, IdleConnTimeout: idleConnectionTimeout,
 			DisableCompression: true, MaxResponseHeaderBytes: cfg.MaxResponseHeaderBytes,
-		}},
-		dispatch: &http.Client{Transport: &http.Transport{
+		})},
+		dispatch: &http.Client{Transport: strict.NewTransport(&http.Transport{
 			DialContext: dial, MaxIdleConnsPerHost: maxDispatchConns, IdleConnTimeout: idleConnectionTimeout,
 			DisableCompression: true, MaxResponseHeaderBytes: cfg.MaxResponseHeaderBytes,
-		}},
+		})},
 		upstream: &http.Client{
 			Transport: &http.Transport{
 				DialContext: dial, MaxIdleConnsPerHost: maxUpstreamConns, MaxConnsPerHost: maxUpstreamConns,
--- a/internal/daemon/export_test.go
+++ b/internal/daemon/export_test.go
@@ -49,3 +49,9 @@
 	_, err := o.propose(ctx, c)
 	return err
 }
+
+// PeerClients returns the clients for requests to other daemons by name.
+func PeerClients(cfg config.Config) map[string]*http.Client {
+	c := newClients(cfg, NetDial, metric.New())
+	return map[string]*http.Client{"control": c.control, "dispatch": c.dispatch}
+}
--- a/internal/strict/conn.go
+++ b/internal/strict/conn.go
@@ -22,8 +22,13 @@
 	writeFailure error
 }
 
-// NewConn returns c with the checks of this package.
-func NewConn(c net.Conn) *Conn { return &Conn{Conn: c} }
+// NewConn returns c with the checks of this package. A Conn is returned as it is.
+func NewConn(c net.Conn) *Conn {
+	if strict, ok := c.(*Conn); ok {
+		return strict
+	}
+	return &Conn{Conn: c}
+}
 
 // Write implements net.Conn.
 func (c *Conn) Write(b []byte) (int, error) {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -18,6 +18,7 @@
 	"baobabreach/internal/model"
 	"baobabreach/internal/pipe"
 	"baobabreach/internal/room"
+	"baobabreach/internal/strict"
 	"baobabreach/pkg/proto"
 
 	"github.com/go-faster/errors"
@@ -34,6 +35,7 @@
 type Config struct {
 	// Host is the name of the entry host, sent with each request.
 	Host string
+	// HTTP sends the requests. If it has a transport of net/http's own, the Client makes that strict.
 	HTTP *http.Client
 	// MaxResponseBytes limits the size of a response body; it must be positive.
 	MaxResponseBytes int64
@@ -44,25 +46,30 @@
 // Client forwards requests to upstreams. It is safe for concurrent use.
 type Client struct {
 	cfg Config
-	// unpooled sends each request on a connection of its own.
-	unpooled *http.Client
-	refused  recentIDs
+	// pooled reuses connections; unpooled sends each request on a connection of its own.
+	pooled, unpooled *http.Client
+	refused          recentIDs
 }
 
 // New returns a client that sends its requests with cfg.HTTP.
 func New(cfg Config) *Client {
 	cfg.Responses = cfg.Responses.OrUnlimited()
-	c := &Client{cfg: cfg, unpooled: cfg.HTTP, refused: recentIDs{known: map[string]bool{}}}
+	c := &Client{cfg: cfg, pooled: cfg.HTTP, unpooled: cfg.HTTP, refused: recentIDs{known: map[string]bool{}}}
 	if t, ok := cfg.HTTP.Transport.(*http.Transport); ok {
-		t = t.Clone()
-		t.DisableKeepAlives = true
-		unpooled := *cfg.HTTP
-		unpooled.Transport = t
-		c.unpooled = &unpooled
+		transport := strict.NewTransport(t)
+		c.pooled = withTransport(cfg.HTTP, transport)
+		c.unpooled = withTransport(cfg.HTTP, transport.WithoutKeepAlives())
 	}
 	return c
 }
 
+// withTransport returns a copy of c with another transport.
+func withTransport(c *http.Client, t http.RoundTripper) *http.Client {
+	clone := *c
+	clone.Transport = t
+	return &clone
+}
+
 // maxRecentIDs limits the IDs that are remembered.
 const maxRecentIDs = 4096
 
@@ -152,7 +159,7 @@
 	if err != nil {
 		return nil, proto.NotRun(proto.CodeInternal, http.StatusInternalServerError, "make request: %v", err)
 	}
-	client := c.cfg.HTTP
+	client := c.pooled
 	if c.refused.contains(r.ID) {
 		// An upstream may write a refusal once more. On the same connection it would pass for the answer to this send.
 		client = c.unpooled
