strict: a response with an invalid head is no response

Callers saw: an upstream sends a field line with a blank in the name or before the colon, and the caller gets 200 without that line; with "Transfer-Encoding : chunked" the body has the chunk sizes in it, with "Content-Length : 2" it has what follows. Folded lines, lines that end with LF alone, control bytes in the reason, HTTP/2.0, status 600 and 999 got through as well. On the own interface status 000 to 099 did (the host then panicked in the handler and closed the caller's connection), and 101.

Cause: net/http reads heads as leniently as RFC 9112 lets recipients, and beyond: it keeps a name with blanks as a key that no code looks up, joins folded lines, takes LF for CRLF and any three digits for a status. Every reader trusted what it parsed.

Handled before, kept as tests: on the platform's path status 000 with and without a reason, and control bytes, a tab and DEL in a field name.

Fix: strict.Conn checks the bytes of each head by the grammar that RFC 9112 sets for senders before net/http parses them. Read returns no byte from the first invalid one on, so that no lenient reader can make a response of it. The check has its place where bytes are read: answers of upstreams on both paths, of other hosts and of replicas pass it.

--- a/internal/daemon/clients_test.go
+++ b/internal/daemon/clients_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net"
 	"net/http"
 	"testing"
 
@@ -37,3 +38,27 @@
 		})
 	}
 }
+
+// Guards against an answer of another daemon that RFC 9110 or 9112 does not allow and that passes for a whole one.
+func TestInvalidAnswerOfAPeerIsAnError(t *testing.T) {
+	for name, client := range daemon.PeerClients(config.Config{}) {
+		for _, c := range stub.InvalidResponses() {
+			t.Run(name+", "+c.Name, func(t *testing.T) {
+				is := is.New(t)
+				l, err := net.Listen("tcp", "127.0.0.1:0")
+				is.NoErr(err)
+				t.Cleanup(func() { _ = l.Close() })
+				go stub.RawServer{Respond: func(*http.Request) stub.RawResponse {
+					return stub.RawResponse{Bytes: c.Bytes("Content-Type: application/octet-stream\r\n"), End: stub.RawClose}
+				}}.Serve(l)
+				_, err = peer.Call[struct{}, anyBytes](t.Context(), client, "http://"+l.Addr().String()+"/", "", struct{}{})
+				is.True(err != nil)
+			})
+		}
+	}
+}
+
+// anyBytes decodes from any binary answer.
+type anyBytes struct{}
+
+func (*anyBytes) UnmarshalBinary([]byte) error { return nil }
--- a/internal/daemon/gauges.go
+++ b/internal/daemon/gauges.go
@@ -93,6 +93,7 @@
 	p.Metrics.SetGauge("upstream.reuses", s.Reuses)
 	p.Metrics.SetGauge("upstream.stale_connections", s.StaleIdle)
 	p.Metrics.SetGauge("upstream.crossed_answers", s.MismatchedResponses)
+	p.Metrics.SetGauge("upstream.invalid_answers", s.InvalidResponses)
 	p.Metrics.SetGauge("upstream.oversized_answers", s.OversizedResponses)
 	p.Metrics.SetGauge("upstream.crowded_out_answers", s.CrowdedOut)
 	p.Metrics.SetGauge("upstream.buffered_bytes", s.ResponseBytes)
--- a/internal/pipe/pipe.go
+++ b/internal/pipe/pipe.go
@@ -133,10 +133,10 @@
 func (f *Failure) Unwrap() error { return f.Err }
 
 // Stats counts dialled connections, reused connections, idle connections that were no longer usable, responses that
-// belonged to another request, responses whose head or body exceeded its limit, responses that found no room beside others
-// or were aborted for them, and connections that ended before a response was complete.
+// belonged to another request, responses that are not valid HTTP, responses whose head or body exceeded its limit, responses
+// that found no room beside others or were aborted for them, and connections that ended before a response was complete.
 type Stats struct {
-	Dials, Reuses, StaleIdle, MismatchedResponses, OversizedResponses, CrowdedOut, Broken int64
+	Dials, Reuses, StaleIdle, MismatchedResponses, InvalidResponses, OversizedResponses, CrowdedOut, Broken int64
 	// ResponseBytes is the room that responses take now.
 	ResponseBytes int64
 }
--- a/internal/pipe/send.go
+++ b/internal/pipe/send.go
@@ -77,6 +77,7 @@
 
 // exchange writes the request and reads the response. reusable is true if the connection may carry another request.
 func (p *Pool) exchange(c *conn, req Request) (resp *Response, reusable bool, failure *Failure) {
+	c.ExpectResponse()
 	head := p.encodeHead(req)
 	written := make(chan error, 1)
 	if len(req.Body) <= concurrentWriteBytes {
@@ -92,6 +93,10 @@
 		}()
 	}
 	resp, reusable, failure = p.readResponse(c, req)
+	if err := c.Invalid(); err != nil {
+		p.updateStats(func(s *Stats) { s.InvalidResponses++ })
+		return nil, false, unknownFailure("answer is not valid", err)
+	}
 	if failure != nil {
 		return nil, false, failure
 	}
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -95,7 +95,8 @@
 		if a.Sheds < maxShedAttempts {
 			return ActionRetry, 0
 		}
-	case proto.CodeUpstreamFailed, proto.CodeConnectionLost, proto.CodeCrossedAnswer, proto.CodeTruncatedAnswer:
+	case proto.CodeUpstreamFailed, proto.CodeConnectionLost, proto.CodeCrossedAnswer, proto.CodeTruncatedAnswer,
+		proto.CodeInvalidAnswer:
 		a.Failures++
 		if a.Failures <= maxFailureRetries && p.takeToken(&p.retryTokens) {
 			return ActionRetry, 0
@@ -160,7 +161,8 @@
 	switch e.Code {
 	case proto.CodeUpstreamShed:
 		return admit.KindShed
-	case proto.CodeUpstreamFailed, proto.CodeConnectionLost, proto.CodeCrossedAnswer, proto.CodeTruncatedAnswer:
+	case proto.CodeUpstreamFailed, proto.CodeConnectionLost, proto.CodeCrossedAnswer, proto.CodeTruncatedAnswer,
+		proto.CodeInvalidAnswer:
 		return admit.KindFailed
 	}
 	return admit.KindNeutral
--- a/internal/strict/conn.go
+++ b/internal/strict/conn.go
@@ -1,4 +1,5 @@
-// Package strict reads HTTP/1.1 responses from connections so that no incomplete response passes for a complete one.
+// Package strict reads HTTP/1.1 responses from connections so that no incomplete or invalid response passes for a whole one.
+// It checks the bytes that net/http parses, and changes none.
 package strict
 
 import (
@@ -20,6 +21,12 @@
 	writing sync.Mutex
 	// writeFailure is the failure of the connection if a write took it; guarded by writing.
 	writeFailure error
+
+	// mu guards the fields below.
+	mu     sync.Mutex
+	parser parser
+	// invalid is the error for the byte after those that were read.
+	invalid error
 }
 
 // NewConn returns c with the checks of this package. A Conn is returned as it is.
@@ -41,15 +48,55 @@
 	return n, err
 }
 
-// Read implements net.Conn.
+// ExpectResponse starts the check of the response to the next request. The one before must have ended.
+func (c *Conn) ExpectResponse() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.parser.begin()
+}
+
+// Invalid returns an error of type ErrInvalid if a byte was read that is invalid in a response, or nil. The connection can't
+// be used any more then.
+func (c *Conn) Invalid() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.invalid
+}
+
+// Read implements net.Conn. It returns an error in place of a byte that is invalid in a response.
 func (c *Conn) Read(b []byte) (int, error) {
+	if err := c.Invalid(); err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Read(b)
 	if errors.Is(err, io.EOF) {
 		if failure := c.connectionFailure(); failure != nil {
 			err = errors.Wrap(failure, "connection failed during a write")
 		}
 	}
-	return n, err
+	valid, invalid := c.check(b[:n])
+	switch {
+	case invalid == nil:
+		return n, err
+	case valid > 0:
+		return valid, nil
+	}
+	return 0, invalid
+}
+
+// check checks the bytes that were read and returns the number of those before the first invalid one.
+func (c *Conn) check(b []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	first := c.parser.atStart()
+	valid, err := c.parser.check(b)
+	c.invalid = err
+	if err != nil && first && valid == 0 {
+		// A client that gets no byte at all takes the connection for one that was closed while it was idle, and may send its
+		// request once more. No response begins with this byte, so that none can be made of it.
+		valid = 1
+	}
+	return valid, err
 }
 
 // connectionFailure returns the failure that a write took before a read met the end of the stream, or nil.
--- /dev/null
+++ b/internal/strict/parser.go
@@ -0,0 +1,162 @@
+package strict
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/go-faster/errors"
+)
+
+// ErrInvalid is the cause of an error about bytes that no response has by RFC 9110 and 9112.
+var ErrInvalid = errors.New("invalid response")
+
+func invalid(format string, args ...any) error {
+	return errors.Wrap(ErrInvalid, fmt.Sprintf(format, args...))
+}
+
+// step checks the next byte of a response and returns the step for the byte after it.
+type step func(p *parser, b byte) (step, error)
+
+// parser checks the bytes of a response by the grammar that RFC 9112 sets for senders. What recipients may tolerate is an
+// error too: a parser that reads such a response in another way finds other fields or another body.
+type parser struct {
+	// next is nil while no response is expected, and for content that has no form to check.
+	next step
+	// position is the number of bytes of the status line that have been checked.
+	position int
+	status   int
+}
+
+// begin starts the check of the next response.
+func (p *parser) begin() { *p = parser{next: statusLine} }
+
+// atStart reports whether no byte of the response has been checked.
+func (p *parser) atStart() bool { return p.next != nil && p.position == 0 }
+
+// check returns the number of bytes before the first invalid one, and the error for that one.
+func (p *parser) check(b []byte) (int, error) {
+	for i, c := range b {
+		if p.next == nil {
+			break
+		}
+		var err error
+		if p.next, err = p.next(p, c); err != nil {
+			return i, err
+		}
+	}
+	return len(b), nil
+}
+
+// versionPrefix is the version of all responses without the minor number, which does not change how they are read.
+const versionPrefix = "HTTP/1."
+
+// Positions in a status line.
+const (
+	minorVersionAt    = len(versionPrefix)
+	spaceBeforeStatus = minorVersionAt + 1
+	firstDigitAt      = spaceBeforeStatus + 1
+	lastDigitAt       = firstDigitAt + 2
+	spaceAfterStatus  = lastDigitAt + 1
+)
+
+// Status codes outside of these bounds are invalid.
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+func statusLine(p *parser, b byte) (step, error) {
+	at := p.position
+	p.position++
+	ok := false
+	switch {
+	case at < minorVersionAt:
+		ok = b == versionPrefix[at]
+	case at == minorVersionAt:
+		ok = isDigit(b)
+	case at == spaceBeforeStatus, at == spaceAfterStatus:
+		ok = b == ' '
+	case at <= lastDigitAt:
+		p.status = 10*p.status + int(b-'0')
+		ok = isDigit(b) && (at < lastDigitAt || p.status >= minStatus && p.status <= maxStatus)
+	case b == '\r':
+		return endOfStatusLine, nil
+	default:
+		ok = isText(b)
+	}
+	if !ok {
+		return nil, invalid("byte %q at %d in the status line", b, at)
+	}
+	return statusLine, nil
+}
+
+func endOfStatusLine(_ *parser, b byte) (step, error) {
+	if b != '\n' {
+		return nil, invalid("status line ends with %q", b)
+	}
+	return fieldLine, nil
+}
+
+// fieldLine checks the first byte of a field line, or of the empty line after the last one.
+func fieldLine(_ *parser, b byte) (step, error) {
+	switch {
+	case b == '\r':
+		return endOfSection, nil
+	case isTokenByte(b):
+		return fieldName, nil
+	}
+	return nil, invalid("field line begins with %q", b)
+}
+
+func fieldName(_ *parser, b byte) (step, error) {
+	switch {
+	case b == ':':
+		return fieldValue, nil
+	case isTokenByte(b):
+		return fieldName, nil
+	}
+	return nil, invalid("byte %q in a field name", b)
+}
+
+func fieldValue(_ *parser, b byte) (step, error) {
+	switch {
+	case b == '\r':
+		return endOfField, nil
+	case isText(b):
+		return fieldValue, nil
+	}
+	return nil, invalid("byte %q in a field value", b)
+}
+
+func endOfField(_ *parser, b byte) (step, error) {
+	if b != '\n' {
+		return nil, invalid("field line ends with %q", b)
+	}
+	return fieldLine, nil
+}
+
+func endOfSection(p *parser, b byte) (step, error) {
+	if b != '\n' {
+		return nil, invalid("header section ends with %q", b)
+	}
+	switch {
+	case p.status == http.StatusSwitchingProtocols:
+		return nil, invalid("switch to a protocol that no request asked for")
+	case p.status < http.StatusOK:
+		// The final response follows.
+		p.begin()
+		return p.next, nil
+	}
+	return nil, nil
+}
+
+func isDigit(b byte) bool { return b >= '0' && b <= '9' }
+
+// isText reports whether b may be in a field value or reason phrase.
+func isText(b byte) bool { return b == '\t' || b >= ' ' && b != 0x7f }
+
+// isTokenByte reports whether b may be in a token, such as a field name.
+func isTokenByte(b byte) bool {
+	return isDigit(b) || b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
+}
--- /dev/null
+++ b/internal/strict/strict_test.go
@@ -0,0 +1,105 @@
+package strict_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"baobabreach/internal/strict"
+	"baobabreach/internal/stub"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+)
+
+// Guards against a check that depends on how a response is divided into reads.
+func TestResponsesThatArriveByteByByte(t *testing.T) {
+	for _, c := range stub.InvalidResponses() {
+		t.Run(c.Name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := get(t, c, 1)
+			is.True(err != nil)
+		})
+	}
+	for _, c := range stub.ValidResponses() {
+		t.Run(c.Name, func(t *testing.T) {
+			is := is.New(t)
+			body, err := get(t, c, 1)
+			is.NoErr(err)
+			is.Equal(body, c.Body)
+		})
+	}
+}
+
+// Guards against a client that sends its request once more because an invalid response looks like a closed idle connection.
+func TestInvalidResponseIsNotAskedForAgain(t *testing.T) {
+	is := is.New(t)
+	requests := 0
+	client := newClient(t, func(c net.Conn, r *http.Request) {
+		requests++
+		if requests == 1 {
+			_, _ = io.WriteString(c, "HTTP/1.1 204 No Content\r\n\r\n")
+			return
+		}
+		_, _ = io.WriteString(c, "no answer")
+	})
+	resp, err := client.Get("http://a.example/")
+	is.NoErr(err)
+	is.NoErr(resp.Body.Close())
+	resp, err = client.Get("http://a.example/")
+	if err == nil {
+		_ = resp.Body.Close()
+	}
+	is.True(err != nil)
+	is.Equal(requests, 2)
+}
+
+// get returns the body of the response, which is written in pieces of a number of bytes.
+func get(t *testing.T, c stub.ResponseCase, pieceBytes int) (string, error) {
+	t.Helper()
+	client := newClient(t, func(conn net.Conn, _ *http.Request) {
+		rest := []byte(c.Bytes(""))
+		for len(rest) > 0 {
+			n := min(pieceBytes, len(rest))
+			if _, err := conn.Write(rest[:n]); err != nil {
+				break
+			}
+			rest = rest[n:]
+		}
+		_ = conn.Close()
+	})
+	resp, err := client.Get("http://a.example/")
+	if err != nil {
+		return "", errors.Wrap(err, "get")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return string(body), err
+}
+
+// newClient returns a client whose connections are in-memory pipes to a server that calls respond for each request.
+func newClient(t *testing.T, respond func(c net.Conn, r *http.Request)) *http.Client {
+	t.Helper()
+	client := &http.Client{Transport: strict.NewTransport(&http.Transport{
+		DialContext: func(context.Context, string, string) (net.Conn, error) {
+			clientConn, serverConn := net.Pipe()
+			go func() {
+				defer func() { _ = serverConn.Close() }()
+				br := bufio.NewReader(serverConn)
+				for {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					respond(serverConn, r)
+				}
+			}()
+			return clientConn, nil
+		},
+	})}
+	t.Cleanup(client.CloseIdleConnections)
+	return client
+}
--- a/internal/strict/transport.go
+++ b/internal/strict/transport.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 )
 
 // Transport is an http.Transport whose connections are of type Conn.
@@ -25,6 +26,16 @@
 	return &Transport{t}
 }
 
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if c, ok := info.Conn.(*Conn); ok {
+			c.ExpectResponse()
+		}
+	}}
+	return t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+}
+
 // WithoutKeepAlives returns a transport with the same settings that opens a connection for each request.
 func (t *Transport) WithoutKeepAlives() *Transport {
 	// Its connections are of type Conn, since it dials as t does.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -172,6 +172,9 @@
 		if errors.Is(context.Cause(ctx), room.ErrFull) {
 			return nil, errNoRoom(u)
 		}
+		if invalid := invalidAnswer(conn.Load()); invalid != nil {
+			return nil, errInvalid(u, invalid)
+		}
 		return nil, proto.Unknown(proto.CodeConnectionLost, "the connection to upstream %s broke: %v", u.Name, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
@@ -184,6 +187,9 @@
 		closeConn(conn.Load())
 		return nil, errNoRoom(u)
 	}
+	if invalid := invalidAnswer(conn.Load()); invalid != nil {
+		return nil, errInvalid(u, invalid)
+	}
 	if err != nil {
 		return nil, proto.Unknown(proto.CodeTruncatedAnswer, "the answer of upstream %s is truncated: %v", u.Name, err)
 	}
@@ -199,6 +205,22 @@
 	return proto.Unknown(proto.CodeTooLarge, "no room for the whole answer of upstream %s", u.Name)
 }
 
+func errInvalid(u model.Upstream, err error) *proto.Error {
+	return proto.Unknown(proto.CodeInvalidAnswer, "the answer of upstream %s is not valid: %v", u.Name, err)
+}
+
+// invalidAnswer returns the error for an invalid response on the connection, or nil.
+func invalidAnswer(info *httptrace.GotConnInfo) error {
+	if info == nil {
+		return nil
+	}
+	c, ok := info.Conn.(*strict.Conn)
+	if !ok {
+		return nil
+	}
+	return c.Invalid()
+}
+
 func closeConn(info *httptrace.GotConnInfo) {
 	if info != nil {
 		_ = info.Conn.Close()
--- a/pkg/proto/error.go
+++ b/pkg/proto/error.go
@@ -31,6 +31,7 @@
 	CodeConnectionLost  Code = "connection_lost"
 	CodeCrossedAnswer   Code = "crossed_answer"
 	CodeTruncatedAnswer Code = "truncated_answer"
+	CodeInvalidAnswer   Code = "invalid_answer"
 	CodeInProgress      Code = "in_progress"
 	CodeAnswerNotKept   Code = "answer_not_kept"
 	CodeQuarantined     Code = "quarantined"
