strict: a response whose framing contradicts itself is no response

Callers saw: 200 with a body that is not the upstream's, where its head has both Transfer-Encoding and Content-Length, the same Content-Length twice, or Transfer-Encoding in HTTP/1.0 (the chunk sizes are then part of the body); 204 and 205 for responses that announce or have content, which is lost.

Cause: net/http prefers one of two contradicting fields, or drops both, without an error. RFC 9112, section 6, calls such framing faulty; what follows the head is then read by a guess.

Handled before, kept as tests: lengths that are no number, differ or are too large, codings other than chunked.

Fix: the parser keeps Content-Length and Transfer-Encoding of a head, refuses a contradiction, and knows where a response ends. A Read stops there, also when a second copy of the response has arrived with it (Conn.Excess): net/http could hand that copy to the next request on the connection, if that got the connection before the transport found the copy.

--- a/internal/pipe/conn.go
+++ b/internal/pipe/conn.go
@@ -83,9 +83,12 @@
 
 func (c *conn) close() { _ = c.Close() }
 
+// hasUnread reports whether more than the last response has been received.
+func (c *conn) hasUnread() bool { return c.br.Buffered() > 0 || c.Excess() }
+
 // reusable reports whether an idle connection is open and has no unread data, which would belong to no request.
 func (c *conn) reusable() bool {
-	if c.br.Buffered() > 0 {
+	if c.hasUnread() {
 		return false
 	}
 	sc, ok := c.Conn.Conn.(syscall.Conn)
--- a/internal/pipe/send.go
+++ b/internal/pipe/send.go
@@ -77,7 +77,7 @@
 
 // exchange writes the request and reads the response. reusable is true if the connection may carry another request.
 func (p *Pool) exchange(c *conn, req Request) (resp *Response, reusable bool, failure *Failure) {
-	c.ExpectResponse()
+	c.ExpectResponse(req.Method)
 	head := p.encodeHead(req)
 	written := make(chan error, 1)
 	if len(req.Body) <= concurrentWriteBytes {
@@ -196,7 +196,7 @@
 	}
 	complete = true
 	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	reusable := framed && !resp.Close && c.br.Buffered() == 0
+	reusable := framed && !resp.Close && !c.hasUnread()
 	c.idleDeadline = idleTimeout(resp.Header.Get("Keep-Alive"))
 	if failure := p.checkResponse(resp); failure != nil {
 		return nil, reusable, failure
--- a/internal/strict/conn.go
+++ b/internal/strict/conn.go
@@ -5,6 +5,7 @@
 import (
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"syscall"
@@ -25,10 +26,14 @@
 	// mu guards the fields below.
 	mu     sync.Mutex
 	parser parser
-	// invalid is the error for the byte after those that were read.
+	// invalid is the error for the byte after those that were read; excess is true if that byte follows the end of a response.
 	invalid error
+	excess  bool
 }
 
+// errExcess means that the peer sent more than the responses to the requests.
+var errExcess = errors.New("bytes after the end of the response")
+
 // NewConn returns c with the checks of this package. A Conn is returned as it is.
 func NewConn(c net.Conn) *Conn {
 	if strict, ok := c.(*Conn); ok {
@@ -48,11 +53,12 @@
 	return n, err
 }
 
-// ExpectResponse starts the check of the response to the next request. The one before must have ended.
-func (c *Conn) ExpectResponse() {
+// ExpectResponse starts the check of the response to the next request, which has the method. The response before must have
+// ended.
+func (c *Conn) ExpectResponse(method string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.parser.begin()
+	c.parser.begin(method == http.MethodHead)
 }
 
 // Invalid returns an error of type ErrInvalid if a byte was read that is invalid in a response, or nil. The connection can't
@@ -63,9 +69,17 @@
 	return c.invalid
 }
 
-// Read implements net.Conn. It returns an error in place of a byte that is invalid in a response.
+// Excess reports whether bytes were read that follow the end of a response. They belong to no request, and the connection
+// can't carry another one.
+func (c *Conn) Excess() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.excess
+}
+
+// Read implements net.Conn. It returns an error in place of a byte that is invalid in a response or follows its end.
 func (c *Conn) Read(b []byte) (int, error) {
-	if err := c.Invalid(); err != nil {
+	if err := c.readError(); err != nil {
 		return 0, err
 	}
 	n, err := c.Conn.Read(b)
@@ -74,29 +88,38 @@
 			err = errors.Wrap(failure, "connection failed during a write")
 		}
 	}
-	valid, invalid := c.check(b[:n])
-	switch {
-	case invalid == nil:
+	switch valid := c.check(b[:n]); {
+	case valid == n:
 		return n, err
 	case valid > 0:
 		return valid, nil
 	}
-	return 0, invalid
+	return 0, c.readError()
+}
+
+// readError returns the error of all further reads, or nil.
+func (c *Conn) readError() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.excess {
+		return errExcess
+	}
+	return c.invalid
 }
 
-// check checks the bytes that were read and returns the number of those before the first invalid one.
-func (c *Conn) check(b []byte) (int, error) {
+// check checks the bytes that were read and returns the number of those that belong to a response.
+func (c *Conn) check(b []byte) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	first := c.parser.atStart()
 	valid, err := c.parser.check(b)
-	c.invalid = err
+	c.invalid, c.excess = err, err == nil && valid < len(b)
 	if err != nil && first && valid == 0 {
 		// A client that gets no byte at all takes the connection for one that was closed while it was idle, and may send its
 		// request once more. No response begins with this byte, so that none can be made of it.
 		valid = 1
 	}
-	return valid, err
+	return valid
 }
 
 // connectionFailure returns the failure that a write took before a read met the end of the stream, or nil.
--- a/internal/strict/parser.go
+++ b/internal/strict/parser.go
@@ -23,27 +23,51 @@
 type parser struct {
 	// next is nil while no response is expected, and for content that has no form to check.
 	next step
+	// toHead is true if the request has the method HEAD.
+	toHead bool
 	// position is the number of bytes of the status line that have been checked.
 	position int
-	status   int
+	// minorVersion is a digit.
+	minorVersion byte
+	status       int
+	// name and value are those of the field line; only the start of long ones is kept.
+	name, value []byte
+	framing     framing
+	// content is the number of bytes of content before the next step, or untilClose.
+	content int64
 }
 
+// untilClose is the length of content that ends with the connection.
+const untilClose = -1
+
 // begin starts the check of the next response.
-func (p *parser) begin() { *p = parser{next: statusLine} }
+func (p *parser) begin(toHead bool) {
+	*p = parser{next: statusLine, toHead: toHead, name: p.name, value: p.value}
+}
 
 // atStart reports whether no byte of the response has been checked.
 func (p *parser) atStart() bool { return p.next != nil && p.position == 0 }
 
-// check returns the number of bytes before the first invalid one, and the error for that one.
+// check returns the number of bytes before the first invalid one, and the error for that one. It stops at the end of the
+// response.
 func (p *parser) check(b []byte) (int, error) {
-	for i, c := range b {
-		if p.next == nil {
-			break
+	for i := 0; i < len(b); {
+		switch {
+		case p.content == untilClose:
+			return len(b), nil
+		case p.content > 0:
+			n := min(int64(len(b)-i), p.content)
+			p.content -= n
+			i += int(n)
+			continue
+		case p.next == nil:
+			return i, nil
 		}
 		var err error
-		if p.next, err = p.next(p, c); err != nil {
+		if p.next, err = p.next(p, b[i]); err != nil {
 			return i, err
 		}
+		i++
 	}
 	return len(b), nil
 }
@@ -74,7 +98,7 @@
 	case at < minorVersionAt:
 		ok = b == versionPrefix[at]
 	case at == minorVersionAt:
-		ok = isDigit(b)
+		p.minorVersion, ok = b, isDigit(b)
 	case at == spaceBeforeStatus, at == spaceAfterStatus:
 		ok = b == ' '
 	case at <= lastDigitAt:
@@ -98,41 +122,57 @@
 	return fieldLine, nil
 }
 
+// maxKeptBytes is more than the longest field name and value that determine the content of a response.
+const maxKeptBytes = 64
+
+func appendKept(kept []byte, b byte) []byte {
+	if len(kept) == maxKeptBytes {
+		return kept
+	}
+	return append(kept, b)
+}
+
 // fieldLine checks the first byte of a field line, or of the empty line after the last one.
-func fieldLine(_ *parser, b byte) (step, error) {
+func fieldLine(p *parser, b byte) (step, error) {
 	switch {
 	case b == '\r':
 		return endOfSection, nil
 	case isTokenByte(b):
+		p.name, p.value = append(p.name[:0], b), p.value[:0]
 		return fieldName, nil
 	}
 	return nil, invalid("field line begins with %q", b)
 }
 
-func fieldName(_ *parser, b byte) (step, error) {
+func fieldName(p *parser, b byte) (step, error) {
 	switch {
 	case b == ':':
 		return fieldValue, nil
 	case isTokenByte(b):
+		p.name = appendKept(p.name, b)
 		return fieldName, nil
 	}
 	return nil, invalid("byte %q in a field name", b)
 }
 
-func fieldValue(_ *parser, b byte) (step, error) {
+func fieldValue(p *parser, b byte) (step, error) {
 	switch {
 	case b == '\r':
 		return endOfField, nil
 	case isText(b):
+		p.value = appendKept(p.value, b)
 		return fieldValue, nil
 	}
 	return nil, invalid("byte %q in a field value", b)
 }
 
-func endOfField(_ *parser, b byte) (step, error) {
+func endOfField(p *parser, b byte) (step, error) {
 	if b != '\n' {
 		return nil, invalid("field line ends with %q", b)
 	}
+	if err := p.framing.add(string(p.name), strings.Trim(string(p.value), " \t")); err != nil {
+		return nil, err
+	}
 	return fieldLine, nil
 }
 
@@ -140,15 +180,37 @@
 	if b != '\n' {
 		return nil, invalid("header section ends with %q", b)
 	}
-	switch {
-	case p.status == http.StatusSwitchingProtocols:
-		return nil, invalid("switch to a protocol that no request asked for")
-	case p.status < http.StatusOK:
+	if err := p.framing.check(p.minorVersion, p.status); err != nil {
+		return nil, err
+	}
+	if p.status < http.StatusOK {
 		// The final response follows.
-		p.begin()
+		p.begin(p.toHead)
 		return p.next, nil
 	}
-	return nil, nil
+	if p.toHead || p.status == http.StatusNoContent || p.status == http.StatusNotModified {
+		return nil, nil
+	}
+	return p.beginContent(), nil
+}
+
+// beginContent returns the first step after the header section of a response that has content.
+func (p *parser) beginContent() step {
+	switch {
+	case p.framing.length != nil:
+		p.content = *p.framing.length
+		return nil
+	case p.status == http.StatusResetContent && !p.framing.chunked:
+		return noContent
+	}
+	// net/http checks the chunks.
+	p.content = untilClose
+	return nil
+}
+
+// noContent is the step in a response that ends with the connection and must not have content.
+func noContent(p *parser, _ byte) (step, error) {
+	return nil, invalid("content after status %d", p.status)
 }
 
 func isDigit(b byte) bool { return b >= '0' && b <= '9' }
--- a/internal/strict/strict_test.go
+++ b/internal/strict/strict_test.go
@@ -57,6 +57,60 @@
 	is.Equal(requests, 2)
 }
 
+// Guards against a second copy of a response that is read as the response to the next request on the connection.
+func TestBytesAfterAResponseAreNotRead(t *testing.T) {
+	const response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	is := is.New(t)
+	clientConn, serverConn := net.Pipe()
+	t.Cleanup(func() { _ = clientConn.Close() })
+	go func() { _, _ = io.WriteString(serverConn, response+response) }()
+	c := strict.NewConn(clientConn)
+	c.ExpectResponse(http.MethodGet)
+	b := make([]byte, 2*len(response))
+	n, err := c.Read(b)
+	is.NoErr(err)
+	is.Equal(string(b[:n]), response)
+	is.True(c.Excess())
+	c.ExpectResponse(http.MethodGet)
+	n, err = c.Read(b)
+	is.Equal(n, 0)
+	is.True(err != nil)
+	is.NoErr(c.Invalid())
+}
+
+// Guards against looking for content after responses that have none, and against losing the start of the next one.
+func TestResponsesWithoutContentKeepTheConnection(t *testing.T) {
+	is := is.New(t)
+	conns := map[net.Conn]bool{}
+	client := newClient(t, func(c net.Conn, r *http.Request) {
+		conns[c] = true
+		_, _ = io.WriteString(c, map[string]string{
+			"/head":     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n",
+			"/chunked":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+			"/empty":    "HTTP/1.1 204 No Content\r\n\r\n",
+			"/modified": "HTTP/1.1 304 Not Modified\r\nContent-Length: 2\r\n\r\n",
+			"/ok":       "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+		}[r.URL.Path])
+	})
+	for _, request := range []struct{ method, path string }{
+		{http.MethodHead, "/head"},
+		{http.MethodHead, "/chunked"},
+		{http.MethodGet, "/empty"},
+		{http.MethodGet, "/modified"},
+		{http.MethodGet, "/ok"},
+		{http.MethodGet, "/ok"},
+	} {
+		req, err := http.NewRequestWithContext(t.Context(), request.method, "http://a.example"+request.path, http.NoBody)
+		is.NoErr(err)
+		resp, err := client.Do(req)
+		is.NoErr(err)
+		_, err = io.ReadAll(resp.Body)
+		is.NoErr(err)
+		is.NoErr(resp.Body.Close())
+	}
+	is.Equal(len(conns), 1)
+}
+
 // get returns the body of the response, which is written in pieces of a number of bytes.
 func get(t *testing.T, c stub.ResponseCase, pieceBytes int) (string, error) {
 	t.Helper()
--- a/internal/strict/transport.go
+++ b/internal/strict/transport.go
@@ -30,7 +30,7 @@
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*Conn); ok {
-			c.ExpectResponse()
+			c.ExpectResponse(r.Method)
 		}
 	}}
 	return t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
--- a/internal/stub/responses.go
+++ b/internal/stub/responses.go
@@ -41,7 +41,7 @@
 
 // InvalidResponses returns responses that RFC 9110 and 9112 do not allow an upstream to send, or that end early.
 func InvalidResponses() []ResponseCase {
-	return slices.Concat(invalidHeads())
+	return slices.Concat(invalidHeads(), invalidFraming())
 }
 
 func invalidHeads() []ResponseCase {
@@ -69,6 +69,28 @@
 	)
 }
 
+func invalidFraming() []ResponseCase {
+	return slices.Concat(
+		casesOf("Transfer-Encoding", okHead+"Transfer-Encoding:", "\r\n\r\n"+okChunks,
+			"", " gzip", " gzip, chunked", " chunked, gzip", " chunked, chunked", " xchunked", " chunked;q=1", " identity",
+			" ,chunked",
+			" chunked\r\nTransfer-Encoding: chunked", " chunked\r\nTransfer-Encoding: identity",
+			" chunked\r\nContent-Length: 2", " chunked\r\nContent-Length: 12"),
+		casesOf("Content-Length", okHead+"Content-Length:", "\r\n\r\nok",
+			"", " +2", " -2", " 2a", " 0x2", " 2 2", " 2.0", " 2,2", " 2, 3", " two", " 18446744073709551618",
+			" 99999999999999999999",
+			" 2\r\nContent-Length: 2", " 2\r\nContent-Length: 3", " 2\r\ncontent-length: 1", " 3",
+			" 2\r\nTransfer-Encoding: chunked"),
+		casesOf("HTTP/1.0", "HTTP/1.0 200 OK\r\n{fields}Transfer-Encoding: chunked\r\n", "",
+			"\r\n"+okChunks, okBody),
+		casesOf("status without content", "HTTP/1.1 ", "",
+			"204 No Content\r\n{fields}"+okBody, "204 No Content\r\n{fields}Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+			"205 Reset Content\r\n{fields}"+okBody, "205 Reset Content\r\n{fields}\r\nok",
+			"304 Not Modified\r\n{fields}Content-Length: x\r\n\r\n", "103 Early Hints\r\nContent-Length: 2\r\n\r\nok"+okHead+okBody,
+			"103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"+okHead+okBody),
+	)
+}
+
 // ValidResponses returns successful responses that are unusual, but that every client must accept.
 func ValidResponses() []ResponseCase {
 	const unframed = "\r\nok"
