strict: a response with invalid chunks is no response

Callers saw: 200 for a body in chunks whose sizes have white space behind them or extensions that are none (a control byte, an open quote), or whose trailer has a blank in a name, a folded line, a Content-Length or a Transfer-Encoding; 205 with content.

Cause: net/http cuts extensions off unread and reads trailers as it reads heads.

Evidence, the tests of the table before the change: pipe and wire accept 20 of 166 responses each, daemon 38 of 332 (two clients). Handled before, kept as tests: sizes that are no number or too large, lines that end with LF alone, chunks without their CRLF, and all bodies in chunks that end early.

Fix: the parser checks the lines of chunk sizes with their extensions, the ends of chunks, and the fields of trailers; it finds the end of such a response, so that a copy behind it is not read either.

After: all cases are errors in pipe, wire and daemon, whole and byte by byte; strict.TestControlBytesAreInvalidEverywhere puts each control byte at each place of an interim head, a head, a chunk size and a trailer. pipe, wire and strict twice with the race detector.

--- a/internal/strict/framing.go
+++ b/internal/strict/framing.go
@@ -1,6 +1,7 @@
 package strict
 
 import (
+	"bytes"
 	"net/http"
 	"strconv"
 	"strings"
@@ -8,56 +9,67 @@
 
 // framing is what the fields of a response say about the length of its content.
 type framing struct {
-	// length is nil without a Content-Length.
-	length  *int64
-	chunked bool
+	// length is 0 unless hasLength is true.
+	length    int64
+	hasLength bool
+	chunked   bool
 }
 
-// add adds a field, whose value has no white space around it.
-func (f *framing) add(name, value string) error {
+const (
+	contentLength    = "Content-Length"
+	transferEncoding = "Transfer-Encoding"
+)
+
+// isField reports whether the name is the wanted one. It allocates no memory for most other names.
+func isField(name []byte, wanted string) bool {
+	return len(name) == len(wanted) && strings.EqualFold(string(name), wanted)
+}
+
+// add adds a field, which may have white space around its value.
+func (f *framing) add(name, value []byte) error {
 	switch {
-	case strings.EqualFold(name, "Content-Length"):
-		if f.length != nil {
-			return invalid("more than one Content-Length")
-		}
-		n, err := parseLength(value)
-		f.length = &n
-		return err
-	case strings.EqualFold(name, "Transfer-Encoding"):
+	case isField(name, contentLength):
+		return f.addLength(trimSpace(value))
+	case isField(name, transferEncoding):
 		// No request allows other codings.
-		if f.chunked || !strings.EqualFold(value, "chunked") {
-			return invalid("Transfer-Encoding %q", value)
+		if coding := trimSpace(value); f.chunked || !strings.EqualFold(coding, "chunked") {
+			return invalid("%s %q", transferEncoding, coding)
 		}
 		f.chunked = true
 	}
 	return nil
 }
 
-func parseLength(value string) (int64, error) {
-	if strings.Trim(value, "0123456789") != "" {
-		return 0, invalid("Content-Length %q", value)
+func (f *framing) addLength(value string) error {
+	if f.hasLength {
+		return invalid("more than one %s", contentLength)
 	}
 	n, err := strconv.ParseInt(value, 10, 64)
-	if err != nil {
-		return 0, invalid("Content-Length %q", value)
+	if err != nil || strings.Trim(value, "0123456789") != "" {
+		return invalid("%s %q", contentLength, value)
 	}
-	return n, nil
+	f.length, f.hasLength = n, true
+	return nil
 }
 
+func trimSpace(value []byte) string { return string(bytes.Trim(value, " \t")) }
+
 // check returns an error if the fields contradict each other, the version or the status.
 func (f *framing) check(minorVersion byte, status int) error {
-	hasContent := f.chunked || f.length != nil && *f.length > 0
 	switch {
 	case status == http.StatusSwitchingProtocols:
 		return invalid("switch to a protocol that no request asked for")
 	case f.chunked && minorVersion == '0':
-		return invalid("Transfer-Encoding in HTTP/1.0")
-	case f.chunked && f.length != nil:
-		return invalid("both Transfer-Encoding and Content-Length")
-	case hasContent && (status < http.StatusOK || status == http.StatusNoContent):
-		return invalid("content after status %d", status)
-	case status == http.StatusResetContent && f.length != nil && *f.length > 0:
+		return invalid("%s in HTTP/1.0", transferEncoding)
+	case f.chunked && f.hasLength:
+		return invalid("both %s and %s", transferEncoding, contentLength)
+	case f.chunked && (status < http.StatusOK || status == http.StatusNoContent), f.length > 0 && !mayHaveContent(status):
 		return invalid("content after status %d", status)
 	}
 	return nil
 }
+
+// mayHaveContent reports whether a response with the status may announce content.
+func mayHaveContent(status int) bool {
+	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusResetContent
+}
--- a/internal/strict/parser.go
+++ b/internal/strict/parser.go
@@ -33,6 +33,9 @@
 	// name and value are those of the field line; only the start of long ones is kept.
 	name, value []byte
 	framing     framing
+	// chunkBytes is the size of the present chunk. inTrailer is true after the last one.
+	chunkBytes int64
+	inTrailer  bool
 	// content is the number of bytes of content before the next step, or untilClose.
 	content int64
 }
@@ -170,15 +173,21 @@
 	if b != '\n' {
 		return nil, invalid("field line ends with %q", b)
 	}
-	if err := p.framing.add(string(p.name), strings.Trim(string(p.value), " \t")); err != nil {
-		return nil, err
+	if !p.inTrailer {
+		return fieldLine, p.framing.add(p.name, p.value)
+	}
+	if isField(p.name, contentLength) || isField(p.name, transferEncoding) {
+		return nil, invalid("%s in a trailer", p.name)
 	}
 	return fieldLine, nil
 }
 
 func endOfSection(p *parser, b byte) (step, error) {
-	if b != '\n' {
+	switch {
+	case b != '\n':
 		return nil, invalid("header section ends with %q", b)
+	case p.inTrailer:
+		return nil, nil
 	}
 	if err := p.framing.check(p.minorVersion, p.status); err != nil {
 		return nil, err
@@ -197,13 +206,14 @@
 // beginContent returns the first step after the header section of a response that has content.
 func (p *parser) beginContent() step {
 	switch {
-	case p.framing.length != nil:
-		p.content = *p.framing.length
+	case p.framing.hasLength:
+		p.content = p.framing.length
 		return nil
-	case p.status == http.StatusResetContent && !p.framing.chunked:
+	case p.framing.chunked:
+		return chunkSize
+	case p.status == http.StatusResetContent:
 		return noContent
 	}
-	// net/http checks the chunks.
 	p.content = untilClose
 	return nil
 }
--- a/internal/strict/strict_test.go
+++ b/internal/strict/strict_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"baobabreach/internal/strict"
@@ -34,6 +35,41 @@
 	}
 }
 
+// Guards against control bytes that pass at some place of a head, of a chunk size or of a trailer.
+func TestControlBytesAreInvalidEverywhere(t *testing.T) {
+	const response = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" +
+		"HTTP/1.1 200 All right\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n" +
+		"0;a=b;c=\"d \\e\"\r\nX-Trailer: x y\r\n\r\n"
+	is := is.New(t)
+	is.NoErr(readAll(t, response))
+	for at := range response {
+		for b := rune(0); b < 0x80; b++ {
+			changed := response[:at] + string(b) + response[at:]
+			if b >= ' ' && b < 0x7f || b == '\t' || strings.HasPrefix(changed, response) {
+				continue
+			}
+			if err := readAll(t, changed); !errors.Is(err, strict.ErrInvalid) {
+				t.Errorf("byte %q at %d: %v", b, at, err)
+			}
+		}
+	}
+}
+
+// readAll reads a response from a connection and returns the error for its first invalid byte.
+func readAll(t *testing.T, response string) error {
+	t.Helper()
+	clientConn, serverConn := net.Pipe()
+	defer func() { _ = clientConn.Close() }()
+	go func() {
+		_, _ = io.WriteString(serverConn, response)
+		_ = serverConn.Close()
+	}()
+	c := strict.NewConn(clientConn)
+	c.ExpectResponse(http.MethodGet)
+	_, _ = io.Copy(io.Discard, c)
+	return c.Invalid()
+}
+
 // Guards against a client that sends its request once more because an invalid response looks like a closed idle connection.
 func TestInvalidResponseIsNotAskedForAgain(t *testing.T) {
 	is := is.New(t)
--- a/internal/stub/responses.go
+++ b/internal/stub/responses.go
@@ -41,7 +41,7 @@
 
 // InvalidResponses returns responses that RFC 9110 and 9112 do not allow an upstream to send, or that end early.
 func InvalidResponses() []ResponseCase {
-	return slices.Concat(invalidHeads(), invalidFraming())
+	return slices.Concat(invalidHeads(), invalidFraming(), invalidChunks())
 }
 
 func invalidHeads() []ResponseCase {
@@ -91,6 +91,25 @@
 	)
 }
 
+func invalidChunks() []ResponseCase {
+	return slices.Concat(
+		casesOf("end of chunks", chunkedHead, "",
+			"", "2", "2\r\n", "2\r\no", "2\r\nok", "2\r\nok\r\n", "2\r\nok\r\n0", "2\r\nok\r\n0\r\n", "2\r\nok\r\n0\r\n\r",
+			"2\r\nok\r\n0\r\nX-Trailer: 1\r\n"),
+		casesOf("chunk size", chunkedHead, "ok\r\n0\r\n\r\n",
+			"\r\n", "g\r\n", "+2\r\n", "-2\r\n", "0x2\r\n", " 2\r\n", "2 \r\n", "2\t\r\n", "2\n", "2\r", "1\r\n", "3\r\n",
+			"10000000000000002\r\n", "ffffffffffffffff\r\n"),
+		casesOf("chunk extension", chunkedHead+"2", "\r\nok\r\n0\r\n\r\n",
+			";", ";=1", ";a=", ";a b", ";a=\"1", ";a=\"1\"b", ";a=\x01", ";a\x00", ";a=\"\x01\"", ";a=\"\\\x01\"", ";a=1,b", " a"),
+		casesOf("end of a chunk", chunkedHead+"2\r\nok", "",
+			"0\r\n\r\n", "\n0\r\n\r\n", "\r0\r\n\r\n", "\r\n0 \r\n\r\n", "\r\n0\r\n\n", "\r\n0\n\r\n"),
+		casesOf("trailer", chunkedHead+"2\r\nok\r\n0\r\n", "\r\n\r\n",
+			"X Blank: 1", "X-Blank : 1", "X\x01Control: 1", "X-Control: \x01", "X-No-Colon", "X-Folded: 1\r\n 2",
+			"Content-Length: 2", "Transfer-Encoding: chunked"),
+		casesOf("content in chunks", "HTTP/1.1 ", "\r\n{fields}Transfer-Encoding: chunked\r\n\r\n"+okChunks, "205 Reset Content"),
+	)
+}
+
 // ValidResponses returns successful responses that are unusual, but that every client must accept.
 func ValidResponses() []ResponseCase {
 	const unframed = "\r\nok"
