slots, peer, entry: answers of daemons have a status that a response has

Callers of the own interface would see: a closed connection, a success that says "not run", or a field line with a control byte, after another host or a replica has sent an answer with such a status or field in its JSON.

Cause: the same trust as in heads of responses, where the answer for the caller is inside of a message: the answer that a dispatcher relays, the typed error of a daemon, and the recorded answer of a claim go to the caller's response as they are. A status of 0, which a recorded answer can have since upstreams' status 000 was recorded, panics in the handler.

Fix: relayed and recorded answers are checked with the grammar of package strict (CheckHead); an error counts as typed only if it names the status of its answer, as peer.WriteError sends it. The outcome is unknown otherwise.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -43,6 +43,8 @@
 	drain    *drain.Drain
 	clock    func() time.Duration
 	requests *room.Room
+	// claim is the result of each proposal.
+	claim claim.Result
 	// sends counts the requests that reached an upstream, and proposals counts the commands passed to Propose.
 	sends, proposals atomic.Int64
 }
@@ -52,7 +54,7 @@
 func newTestServer(t *testing.T, overLimit bool, reply func(n int64, r *http.Request, c net.Conn)) *testServer {
 	ts := &testServer{
 		view: route.NewView(), policy: retry.NewPolicy(), drain: drain.New(drain.Config{Timeout: time.Second}),
-		requests: room.New(1000),
+		requests: room.New(1000), claim: claim.Result{Status: claim.StatusGranted},
 	}
 	t.Cleanup(func() { ts.client.CloseIdleConnections() })
 	start := time.Now()
@@ -72,7 +74,7 @@
 		Client: ts.client,
 		Propose: func(_ context.Context, c state.Command) (state.Result, error) {
 			ts.proposals.Add(1)
-			return state.Result{Claim: &claim.Result{Status: claim.StatusGranted}}, nil
+			return state.Result{Claim: &ts.claim}, nil
 		},
 		AcquireSlot: func(_ context.Context, slotReq entry.SlotRequest) (model.Upstream, func(admit.Result), *proto.Error) {
 			u := slotReq.Upstreams[0]
@@ -139,6 +141,19 @@
 
 func requestID(r *http.Request) string { return r.Header.Get(proto.HeaderRequestID) }
 
+// Guards against a recorded answer with a status that no response has, which ends the connection of the caller.
+func TestInvalidRecordedAnswerIsNotReplayed(t *testing.T) {
+	is := is.New(t)
+	ts := newTestServer(t, false, func(int64, *http.Request, net.Conn) {})
+	for _, status := range []int{0, 99, 100, 600, 1000} {
+		ts.claim = claim.Result{Status: claim.StatusDone, Answer: &claim.Answer{HTTPStatus: status, ContentType: "text/plain"}}
+		w, e := ts.call(http.MethodPost, "/s/free/x", "order")
+		is.Equal(w.Code, http.StatusBadGateway)
+		is.Equal(e.Outcome, proto.OutcomeUnknown)
+	}
+	is.Equal(ts.sends.Load(), int64(0))
+}
+
 // Guards against an invalid request that reaches an upstream or the log, or that is refused without a typed error.
 func TestInvalidRequestIsRefused(t *testing.T) {
 	long := strings.Repeat("x", 3000)
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -21,6 +21,7 @@
 	"baobabreach/internal/room"
 	"baobabreach/internal/route"
 	"baobabreach/internal/state"
+	"baobabreach/internal/strict"
 	"baobabreach/internal/wire"
 	"baobabreach/pkg/proto"
 )
@@ -309,6 +310,9 @@
 			return nil, errResponseNotKept(result.Answer)
 		}
 		h := http.Header{"Content-Type": {result.Answer.ContentType}}
+		if err := strict.CheckHead(result.Answer.HTTPStatus, h); err != nil {
+			return nil, proto.Unknown(proto.CodeInvalidAnswer, "the recorded answer is not valid: %v", err)
+		}
 		return &Response{
 			Status: result.Answer.HTTPStatus, Header: h, Body: result.Answer.Body,
 			Upstream: result.Answer.Upstream, Outcome: proto.OutcomeDone,
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -151,9 +151,16 @@
 }
 
 func decodeError(status int, body []byte) error {
-	var e proto.Error
-	if err := json.Unmarshal(body, &e); err != nil || e.Code == "" {
-		return errors.Errorf("status %d", status)
+	if e, ok := DecodeError(status, body); ok {
+		return e
 	}
-	return &e
+	return errors.Errorf("status %d", status)
+}
+
+// DecodeError returns the error in an answer of another daemon, or false if the answer is no typed error. WriteError sends
+// each error with its own status.
+func DecodeError(status int, body []byte) (*proto.Error, bool) {
+	var e proto.Error
+	err := json.Unmarshal(body, &e)
+	return &e, err == nil && e.Code != "" && e.Status == status && status >= http.StatusBadRequest
 }
--- a/internal/slots/relay.go
+++ b/internal/slots/relay.go
@@ -18,6 +18,7 @@
 	"baobabreach/internal/peer"
 	"baobabreach/internal/room"
 	"baobabreach/internal/route"
+	"baobabreach/internal/strict"
 	"baobabreach/pkg/proto"
 
 	"github.com/go-faster/errors"
@@ -155,17 +156,20 @@
 	if r.Answer.RequestID != slotReq.Request.ID {
 		return nil, proto.Unknown(proto.CodeCrossedAnswer, "dispatcher %s answered request %q", address, r.Answer.RequestID), true
 	}
+	if err := strict.CheckHead(r.Answer.Status, r.Answer.Header); err != nil {
+		return nil, proto.Unknown(proto.CodeInvalidAnswer, "the answer of dispatcher %s is not valid: %v", address, err), true
+	}
 	r.Answer.Body = body
 	return &r.Answer, nil, true
 }
 
 // relayError decodes the error of a dispatcher. If that fails, the outcome of the request is unknown.
 func relayError(address string, status int, body []byte) *proto.Error {
-	var e proto.Error
-	if err := json.Unmarshal(body, &e); err != nil || e.Outcome == "" {
+	e, ok := peer.DecodeError(status, body)
+	if !ok || e.Outcome == "" {
 		return proto.Unknown(proto.CodeUpstreamFailed, "dispatcher %s answered status %d", address, status)
 	}
-	return &e
+	return e
 }
 
 // sendFrame sends one frame and returns the status and the body of the response. The boolean result is true if a byte of
--- a/internal/slots/slots_test.go
+++ b/internal/slots/slots_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -214,3 +216,37 @@
 		is.Equal(f.runs.Load(), int64(3))
 	})
 }
+
+// Guards against an answer of a dispatcher that no valid response to the caller can be made of.
+func TestInvalidRelayedAnswerIsNotReturned(t *testing.T) {
+	for name, reply := range map[string]string{
+		"status 0":       `{"answer":{"request_id":"r1","status":0}}`,
+		"status 100":     `{"answer":{"request_id":"r1","status":100}}`,
+		"status 999":     `{"answer":{"request_id":"r1","status":999}}`,
+		"blank in name":  `{"answer":{"request_id":"r1","status":200,"header":{"X Blank":["1"]}}}`,
+		"empty name":     `{"answer":{"request_id":"r1","status":200,"header":{"":["1"]}}}`,
+		"control byte":   `{"answer":{"request_id":"r1","status":200,"header":{"X-Control":["\u0001"]}}}`,
+		"feed in value":  `{"answer":{"request_id":"r1","status":200,"header":{"X-Feed":["1\r\nX-Other: 2"]}}}`,
+		"other status":   "503" + `{"code":"overloaded","status":200,"outcome":"not_run"}`,
+		"without status": "503" + `{"code":"overloaded","outcome":"not_run"}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			withFleet(t, "relay", func(ctx context.Context, is *is.I, f *testFleet) {
+				f.serve(ctx, f.dispatcher, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					_, _ = io.Copy(io.Discard, r.Body)
+					if body, ok := strings.CutPrefix(reply, "503"); ok {
+						w.WriteHeader(http.StatusServiceUnavailable)
+						_, _ = io.WriteString(w, body)
+						return
+					}
+					_ = binary.Write(w, binary.BigEndian, uint32(len(reply)))
+					_, _ = io.WriteString(w, reply)
+				}))
+				_, err := f.other.Relay(ctx, newSlotRequest())
+				is.True(err != nil)
+				is.Equal(err.Outcome, proto.OutcomeUnknown)
+				is.Equal(err.Status, http.StatusBadGateway)
+			})
+		})
+	}
+}
