--- a/internal/daemon/clients_test.go
+++ b/internal/daemon/clients_test.go
@@ -17,7 +17,7 @@
 // Guards against an answer of another daemon that is reset while a large message is sent to it and passes for a whole one.
 func TestAnswerOfAPeerThatIsResetIsNotWhole(t *testing.T) {
 	is := is.New(t)
-	l, err := stub.ListenWithSmallBuffers()
+	l, err := stub.ListenWithSmallBuffers("127.0.0.1:0")
 	is.NoErr(err)
 	t.Cleanup(func() { _ = l.Close() })
 	go stub.RawServer{Respond: func(*http.Request) stub.RawResponse {
--- a/internal/pipe/reset_test.go
+++ b/internal/pipe/reset_test.go
@@ -39,7 +39,7 @@
 			t.Run(name+", "+size, func(t *testing.T) {
 				t.Parallel()
 				is := is.New(t)
-				l, err := stub.ListenWithSmallBuffers()
+				l, err := stub.ListenWithSmallBuffers("127.0.0.1:0")
 				is.NoErr(err)
 				t.Cleanup(func() { _ = l.Close() })
 				go stub.RawServer{Respond: func(*http.Request) stub.RawResponse { return c.response }}.Serve(l)
--- a/internal/soak/crash.go
+++ b/internal/soak/crash.go
@@ -136,6 +136,15 @@
 
 // sendRepeated sends a request whose content is the same each time.
 func (r *Run) sendRepeated(ctx context.Context, c *http.Client, h *Host, crash CrashConfig, target, id string) int {
+	status, _ := r.sendTo(ctx, c, h, crash, target, id, "same")
+	return status
+}
+
+// sendTo sends a request with the body and returns the status and the body of the response; the status is 0 without a whole
+// one.
+func (r *Run) sendTo(
+	ctx context.Context, c *http.Client, h *Host, crash CrashConfig, target, id, body string,
+) (int, string) {
 	host, path := "a.example", "/o"
 	if crash.Service == "styles" {
 		path = "/s"
@@ -144,9 +153,9 @@
 		host, path = "b.example", fmt.Sprintf("/v%d", r.operator.version)
 	}
 	url := "http://" + h.CallerAddress() + path + target
-	req, err := http.NewRequestWithContext(ctx, crash.Method, url, strings.NewReader("same"))
+	req, err := http.NewRequestWithContext(ctx, crash.Method, url, strings.NewReader(body))
 	if err != nil {
-		return 0
+		return 0, ""
 	}
 	req.GetBody = nil
 	req.Host = host
@@ -155,10 +164,14 @@
 	req.Header.Set("Shard-Key", "1")
 	resp, err := c.Do(req)
 	if err != nil {
-		return 0
+		return 0, ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, ""
 	}
-	_ = resp.Body.Close()
-	return resp.StatusCode
+	return resp.StatusCode, string(b)
 }
 
 // crash ends an upstream that runs the crashing request and starts its successor at the same address later.
--- a/internal/soak/flood.go
+++ b/internal/soak/flood.go
@@ -19,8 +19,6 @@
 )
 
 const (
-	// floodTarget is the path of the requests that upstreams of orders answer with bytes without end.
-	floodTarget = "/flood"
 	// floodUpstreams is the number of upstreams that do so, floodCallers the number of callers that send such requests, and
 	// floodTime how long.
 	floodUpstreams = 12
@@ -54,7 +52,7 @@
 }
 
 // respond takes over the connection and writes until the caller closes it.
-func (f *flood) respond(w http.ResponseWriter, id string) {
+func (f *flood) respond(w http.ResponseWriter, r *http.Request) {
 	c, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
@@ -62,7 +60,7 @@
 	defer func() { _ = c.Close() }()
 	kind := floods[int(f.responses.Add(1))%len(floods)]
 	if strings.Contains(kind.start, "%s") {
-		kind.start = fmt.Sprintf(kind.start, id)
+		kind.start = fmt.Sprintf(kind.start, r.Header.Get("Attempt-Id"))
 	}
 	if _, err := io.WriteString(c, kind.start); err != nil {
 		return
@@ -103,7 +101,7 @@
 	r := newRun(cfg, 1)
 	f := &flood{}
 	return r.run(func(ctx context.Context) error {
-		r.group.SetFlood(f.respond)
+		r.group.SetRaw(f.respond)
 		for range floodUpstreams - orderUpstreams {
 			if err := r.startUpstream(false); err != nil {
 				return err
@@ -189,7 +187,7 @@
 			for n := 0; ctx.Err() == nil; n++ {
 				hosts := r.fleet.EntryHosts()
 				order := CrashConfig{Method: http.MethodPost, Service: "orders"}
-				r.sendRepeated(ctx, c, hosts[(i+n)%len(hosts)], order, floodTarget+"?"+strconv.Itoa(n), fmt.Sprintf("flood-%d-%d", i, n))
+				r.sendRepeated(ctx, c, hosts[(i+n)%len(hosts)], order, rawTarget+"?"+strconv.Itoa(n), fmt.Sprintf("flood-%d-%d", i, n))
 			}
 		}()
 		go func() {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -109,7 +110,10 @@
 	}
 	r.fleet = f
 	defer f.Close()
-	r.group = &UpstreamGroup{checker: r.checker, registries: f.Registries(), lastIncarnation: time.Now().UnixMilli()}
+	r.group = &UpstreamGroup{
+		checker: r.checker, registries: f.Registries(), lastIncarnation: time.Now().UnixMilli(),
+		listen: func(address string) (net.Listener, error) { return net.Listen("tcp", address) },
+	}
 	defer r.group.Close()
 	r.operator = &Operator{registries: f.Registries(), checker: r.checker}
 	if err := r.startFleet(); err != nil {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -132,6 +132,9 @@
 // of all other callers end with them.
 func TestEndlessResponsesLeaveMemory(t *testing.T) { runLogged(t, 110, 4, soak.RunEndlessResponses) }
 
+// Guards against callers that get a part of a response or one that is not valid HTTP, and against refusing unusual ones.
+func TestRawResponses(t *testing.T) { runLogged(t, 118, 4, soak.RunRawResponses) }
+
 // Guards against an upstream that sends reports without end: replicas keep them until they run out of memory.
 func TestEndlessReportsLeaveMemory(t *testing.T) { runLogged(t, 115, 2, soak.RunEndlessReports) }
 
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -45,15 +45,20 @@
 	closed          bool
 	// crash is called by upstreams that run a request for crashTarget, unless it is nil.
 	crash func(u *Upstream)
-	// flood answers requests for floodTarget, unless it is nil.
-	flood func(w http.ResponseWriter, id string)
+	// respondRaw answers requests for rawTarget, unless it is nil.
+	respondRaw func(w http.ResponseWriter, r *http.Request)
+	// listen opens the listeners of upstreams.
+	listen func(address string) (net.Listener, error)
 }
 
-// SetFlood sets the function that answers requests for floodTarget.
-func (g *UpstreamGroup) SetFlood(flood func(w http.ResponseWriter, id string)) {
+// rawTarget is the path of the requests that upstreams of orders answer by the function that SetRaw sets.
+const rawTarget = "/raw"
+
+// SetRaw sets the function that answers requests for rawTarget.
+func (g *UpstreamGroup) SetRaw(respond func(w http.ResponseWriter, r *http.Request)) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.flood = flood
+	g.respondRaw = respond
 }
 
 // SetCrash sets the function that upstreams call when they run a request for crashTarget.
@@ -114,7 +119,7 @@
 
 // Start starts an upstream that listens on listenAddress and announces announcedAddress.
 func (g *UpstreamGroup) Start(id, service, listenAddress, announcedAddress string, keyed bool) (*Upstream, error) {
-	l, err := net.Listen("tcp", listenAddress)
+	l, err := g.listen(listenAddress)
 	if err != nil {
 		return nil, err
 	}
@@ -255,10 +260,10 @@
 	return g.crash
 }
 
-func (g *UpstreamGroup) floodFunc() func(w http.ResponseWriter, id string) {
+func (g *UpstreamGroup) rawFunc() func(w http.ResponseWriter, r *http.Request) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.flood
+	return g.respondRaw
 }
 
 // checkExclusive reports a violation if another upstream of the service holds the key too.
@@ -310,8 +315,8 @@
 		crash(u)
 		panic(http.ErrAbortHandler)
 	}
-	if flood := u.group.floodFunc(); flood != nil && strings.HasSuffix(r.URL.Path, floodTarget) {
-		flood(w, id)
+	if respond := u.group.rawFunc(); respond != nil && strings.HasSuffix(r.URL.Path, rawTarget) {
+		respond(w, r)
 		return
 	}
 	time.Sleep(serviceTimeOf(r))
--- a/internal/stub/raw.go
+++ b/internal/stub/raw.go
@@ -18,6 +18,9 @@
 // smallReceiveBytes is the receive buffer of ListenWithSmallBuffers, into which no large request body fits.
 const smallReceiveBytes = 4 << 10
 
+// unreadTime is the time between both ends of a connection that is closed without reading.
+const unreadTime = 20 * time.Millisecond
+
 // RawEnd is what a RawServer does with a connection after a response.
 type RawEnd int
 
@@ -42,14 +45,44 @@
 	End   RawEnd
 }
 
+// Send writes the response and ends the connection, unless End is RawKeep.
+func (r RawResponse) Send(c net.Conn) error {
+	if _, err := io.WriteString(c, r.Bytes); err != nil {
+		return errors.Wrap(err, "write response")
+	}
+	time.Sleep(r.Delay)
+	switch r.End {
+	case RawKeep:
+		return nil
+	case RawReset:
+		if tcp, ok := c.(*net.TCPConn); ok {
+			// Without the time to send what is left, closing the connection resets it.
+			_ = tcp.SetLinger(0)
+		}
+	case RawClose:
+		closeWrite(c)
+		_, _ = io.Copy(io.Discard, c)
+	case RawCloseUnread:
+		closeWrite(c)
+		time.Sleep(unreadTime)
+	}
+	return errs.Wrap(c.Close(), "close connection")
+}
+
+func closeWrite(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite()
+	}
+}
+
 // RawServer answers each request with the bytes that Respond returns.
 type RawServer struct {
 	Respond func(r *http.Request) RawResponse
 }
 
-// ListenWithSmallBuffers listens on a free port of the loopback address. A client that sends a large body to it is still
-// writing when an early response arrives.
-func ListenWithSmallBuffers() (net.Listener, error) {
+// ListenWithSmallBuffers listens on the address. A client that sends a large body to it is still writing when an early
+// response arrives.
+func ListenWithSmallBuffers(address string) (net.Listener, error) {
 	lc := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		var optErr error
 		err := raw.Control(func(fd uintptr) {
@@ -60,7 +93,7 @@
 		}
 		return errs.Wrap(err, "set receive buffer")
 	}}
-	l, err := lc.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	l, err := lc.Listen(context.Background(), "tcp", address)
 	return l, errs.Wrap(err, "listen")
 }
 
@@ -90,42 +123,8 @@
 				return errors.Wrap(err, "read body")
 			}
 		}
-		if _, err := io.WriteString(c, resp.Bytes); err != nil {
-			return errors.Wrap(err, "write response")
-		}
-		time.Sleep(resp.Delay)
-		switch resp.End {
-		case RawKeep:
-			continue
-		case RawReset:
-			if tcp, ok := c.(*net.TCPConn); ok {
-				// Without the time to send what is left, closing the connection resets it.
-				_ = tcp.SetLinger(0)
-			}
-		case RawClose:
-			closeInOrder(c)
-		case RawCloseUnread:
-			closeUnread(c)
+		if err := resp.Send(c); err != nil || resp.End != RawKeep {
+			return err
 		}
-		return nil
-	}
-}
-
-// unreadTime is the time between both ends of a connection that is closed without reading.
-const unreadTime = 20 * time.Millisecond
-
-func closeUnread(c net.Conn) {
-	if tcp, ok := c.(*net.TCPConn); ok {
-		_ = tcp.CloseWrite()
-	}
-	time.Sleep(unreadTime)
-}
-
-// closeInOrder ends the responses and reads what the client still sends, because closing a connection with unread data
-// resets it.
-func closeInOrder(c net.Conn) {
-	if tcp, ok := c.(*net.TCPConn); ok {
-		_ = tcp.CloseWrite()
 	}
-	_, _ = io.Copy(io.Discard, c)
 }
