strict: white space and zeros around a length don't hide it

A response with over 64 bytes of white space before its Content-Length, or of zeros in it, was refused although it is valid: the parser kept 64 bytes of each value.

Seen by reading; the new cases of the table fail before: "with leading zeros in the length" and "with much white space around the length" in strict. Values are kept for the two fields of the framing only, without leading white space, and up to 1 KiB.

--- a/internal/strict/chunks.go
+++ b/internal/strict/chunks.go
@@ -53,7 +53,7 @@
 // extensionName checks the first byte of the name of an extension and the white space before it.
 func extensionName(_ *parser, b byte) (step, error) {
 	switch {
-	case b == ' ', b == '\t':
+	case isSpace(b):
 		return extensionName, nil
 	case isTokenByte(b):
 		return moreExtensionName, nil
@@ -65,7 +65,7 @@
 	switch {
 	case b == '=':
 		return extensionValue, nil
-	case b == ' ', b == '\t':
+	case isSpace(b):
 		return afterExtensionName, nil
 	case isTokenByte(b):
 		return moreExtensionName, nil
@@ -87,7 +87,7 @@
 // extensionValue checks the first byte of the value of an extension and the white space before it.
 func extensionValue(_ *parser, b byte) (step, error) {
 	switch {
-	case b == ' ', b == '\t':
+	case isSpace(b):
 		return extensionValue, nil
 	case b == '"':
 		return quotedValue, nil
--- a/internal/strict/framing.go
+++ b/internal/strict/framing.go
@@ -25,34 +25,39 @@
 	return len(name) == len(wanted) && strings.EqualFold(string(name), wanted)
 }
 
-// add adds a field, which may have white space around its value.
+func isFramingField(name []byte) bool {
+	return isField(name, contentLength) || isField(name, transferEncoding)
+}
+
+// add adds a field of the framing.
 func (f *framing) add(name, value []byte) error {
-	switch {
-	case isField(name, contentLength):
-		return f.addLength(trimSpace(value))
-	case isField(name, transferEncoding):
-		// No request allows other codings.
-		if coding := trimSpace(value); f.chunked || !strings.EqualFold(coding, "chunked") {
-			return invalid("%s %q", transferEncoding, coding)
-		}
-		f.chunked = true
+	if isField(name, contentLength) {
+		return f.addLength(value)
 	}
-	return nil
+	return f.addCoding(value)
 }
 
-func (f *framing) addLength(value string) error {
-	if f.hasLength {
+func (f *framing) addLength(value []byte) error {
+	text := string(bytes.TrimRight(value, " \t"))
+	n, err := strconv.ParseInt(text, 10, 64)
+	switch {
+	case f.hasLength:
 		return invalid("more than one %s", contentLength)
-	}
-	n, err := strconv.ParseInt(value, 10, 64)
-	if err != nil || strings.Trim(value, "0123456789") != "" {
+	case err != nil, strings.Trim(text, "0123456789") != "":
 		return invalid("%s %q", contentLength, value)
 	}
 	f.length, f.hasLength = n, true
 	return nil
 }
 
-func trimSpace(value []byte) string { return string(bytes.Trim(value, " \t")) }
+// addCoding accepts one coding only, since no request allows others.
+func (f *framing) addCoding(value []byte) error {
+	if f.chunked || !strings.EqualFold(string(bytes.TrimRight(value, " \t")), "chunked") {
+		return invalid("%s %q", transferEncoding, value)
+	}
+	f.chunked = true
+	return nil
+}
 
 // check returns an error if the fields contradict each other, the version or the status.
 func (f *framing) check(minorVersion byte, status int) error {
--- a/internal/strict/parser.go
+++ b/internal/strict/parser.go
@@ -30,7 +30,8 @@
 	// minorVersion is a digit.
 	minorVersion byte
 	status       int
-	// name and value are those of the field line; only the start of long ones is kept.
+	// name is that of the field line; only the start of a long one is kept. value is that of a field of the framing, without
+	// leading white space and with at most one byte of it in a row.
 	name, value []byte
 	framing     framing
 	// chunkBytes is the size of the present chunk. inTrailer is true after the last one.
@@ -125,15 +126,11 @@
 	return fieldLine, nil
 }
 
-// maxKeptBytes is more than the longest field name and value that determine the content of a response.
-const maxKeptBytes = 64
-
-func appendKept(kept []byte, b byte) []byte {
-	if len(kept) == maxKeptBytes {
-		return kept
-	}
-	return append(kept, b)
-}
+// Limits of what is kept of a field line. A name of maxNameBytes is longer than those of the framing.
+const (
+	maxNameBytes  = 32
+	maxValueBytes = 1 << 10
+)
 
 // fieldLine checks the first byte of a field line, or of the empty line after the last one.
 func fieldLine(p *parser, b byte) (step, error) {
@@ -149,10 +146,14 @@
 
 func fieldName(p *parser, b byte) (step, error) {
 	switch {
+	case b == ':' && isFramingField(p.name):
+		return framingValue, nil
 	case b == ':':
 		return fieldValue, nil
 	case isTokenByte(b):
-		p.name = appendKept(p.name, b)
+		if len(p.name) < maxNameBytes {
+			p.name = append(p.name, b)
+		}
 		return fieldName, nil
 	}
 	return nil, invalid("byte %q in a field name", b)
@@ -163,23 +164,36 @@
 	case b == '\r':
 		return endOfField, nil
 	case isText(b):
-		p.value = appendKept(p.value, b)
 		return fieldValue, nil
 	}
 	return nil, invalid("byte %q in a field value", b)
 }
 
+// framingValue checks the value of a field of the framing, and keeps it.
+func framingValue(p *parser, b byte) (step, error) {
+	switch {
+	case isSpace(b) && (len(p.value) == 0 || isSpace(p.value[len(p.value)-1])):
+		return framingValue, nil
+	case len(p.value) == maxValueBytes:
+		return nil, invalid("%s is too long", p.name)
+	case isText(b):
+		p.value = append(p.value, b)
+		return framingValue, nil
+	}
+	return fieldValue(p, b)
+}
+
 func endOfField(p *parser, b byte) (step, error) {
 	if b != '\n' {
 		return nil, invalid("field line ends with %q", b)
 	}
-	if !p.inTrailer {
-		return fieldLine, p.framing.add(p.name, p.value)
-	}
-	if isField(p.name, contentLength) || isField(p.name, transferEncoding) {
+	switch {
+	case !isFramingField(p.name):
+		return fieldLine, nil
+	case p.inTrailer:
 		return nil, invalid("%s in a trailer", p.name)
 	}
-	return fieldLine, nil
+	return fieldLine, p.framing.add(p.name, p.value)
 }
 
 func endOfSection(p *parser, b byte) (step, error) {
@@ -225,6 +239,8 @@
 
 func isDigit(b byte) bool { return b >= '0' && b <= '9' }
 
+func isSpace(b byte) bool { return b == ' ' || b == '\t' }
+
 // isText reports whether b may be in a field value or reason phrase.
 func isText(b byte) bool { return b == '\t' || b >= ' ' && b != 0x7f }
 
--- a/internal/stub/responses.go
+++ b/internal/stub/responses.go
@@ -78,7 +78,7 @@
 			" chunked\r\nContent-Length: 2", " chunked\r\nContent-Length: 12"),
 		casesOf("Content-Length", okHead+"Content-Length:", "\r\n\r\nok",
 			"", " +2", " -2", " 2a", " 0x2", " 2 2", " 2.0", " 2,2", " 2, 3", " two", " 18446744073709551618",
-			" 99999999999999999999",
+			" 99999999999999999999", " 2"+strings.Repeat(" ", 70)+"2",
 			" 2\r\nContent-Length: 2", " 2\r\nContent-Length: 3", " 2\r\ncontent-length: 1", " 3",
 			" 2\r\nTransfer-Encoding: chunked"),
 		casesOf("HTTP/1.0", "HTTP/1.0 200 OK\r\n{fields}Transfer-Encoding: chunked\r\n", "",
@@ -115,8 +115,12 @@
 	const unframed = "\r\nok"
 	return []ResponseCase{
 		{"with a length", okHead + okBody, "ok"},
-		{"with leading zeros in the length", okHead + "Content-Length: 0002\r\n\r\nok", "ok"},
+		{"with leading zeros in the length", okHead + "Content-Length: " + strings.Repeat("0", 100) + "2\r\n\r\nok", "ok"},
 		{"with white space around the length", okHead + "CONTENT-LENGTH:\t 2 \t\r\n\r\nok", "ok"},
+		{
+			"with much white space around the length",
+			okHead + "Content-Length:" + strings.Repeat(" ", 100) + "2" + strings.Repeat("\t ", 100) + "\r\n\r\nok", "ok",
+		},
 		{"with an empty body", okHead + "Content-Length: 0\r\n\r\n", ""},
 		{"without a length", okHead + unframed, "ok"},
 		{"without a length and a body", okHead + "\r\n", ""},
