pipe: a response that names two requests answers none

Callers saw: 200 for a response with two IDs, of which the first was that of their request; both were passed on.

Cause: only the first value of the header was compared. RFC 9110, section 5.3, allows one line of a field that is no list.

Fix: each value must be the ID of the request; a refusal without any is still one. The own interface sets the header itself and compares the first value, as before.

--- a/internal/pipe/send.go
+++ b/internal/pipe/send.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -173,13 +174,12 @@
 		}
 		_ = resp.Body.Close()
 	}()
-	id := resp.Header.Get(p.cfg.Names.RequestID)
-	// A refusal may lack the ID, but on a reused connection it may then be a late copy for an earlier request.
-	namesNoRequest := id == "" && resp.Header.Get(p.cfg.Names.NotRun) != "" && !c.reused
+	answers := p.answers(resp.Header, req.ID, c.reused)
 	c.reused = true
-	if id != req.ID && !namesNoRequest {
+	if !answers {
 		p.updateStats(func(s *Stats) { s.MismatchedResponses++ })
-		return nil, false, unknownFailure("answer to another request "+strconv.Quote(id), nil)
+		ids := strings.Join(resp.Header.Values(p.cfg.Names.RequestID), ", ")
+		return nil, false, unknownFailure("answer to another request "+strconv.Quote(ids), nil)
 	}
 	body, err := c.limit.buffer.Read(resp.Body, resp.ContentLength, p.cfg.MaxResponseBytes)
 	if err == nil {
@@ -206,6 +206,16 @@
 	}, reusable, nil
 }
 
+// answers reports whether the response is the one to the request with the ID and to no other.
+func (p *Pool) answers(h http.Header, id string, reusedConn bool) bool {
+	ids := h.Values(p.cfg.Names.RequestID)
+	if strings.Join(ids, "") == "" {
+		// A refusal may lack the ID, but on a reused connection it may then be a late copy for an earlier request.
+		return h.Get(p.cfg.Names.NotRun) != "" && !reusedConn
+	}
+	return !slices.ContainsFunc(ids, func(other string) bool { return other != id })
+}
+
 // notice returns what a response says about its upstream. A response that names another process at the address says nothing
 // about the one that the request was for.
 func (p *Pool) notice(resp *http.Response) Notice {
