pipe: a signature for the connection alone is none for the caller

Callers saw: 200 without a signature, from an upstream whose Connection field names the signature. RFC 9110, section 7.6.1, has the host remove such a field, and does not allow an upstream to name it.

Cause: the signature was looked for before the fields of the connection were removed.

Evidence: pipe.TestInvalidResponsesAreRejected/hop_signature, written first, got the response as a whole one.

Fix: the check looks at the header that the caller gets.

--- a/internal/pipe/pipe_test.go
+++ b/internal/pipe/pipe_test.go
@@ -110,6 +110,7 @@
 		"unsigned":      {ok + "Content-Length: 2\r\n\r\nok", pipe.StageUnknown},
 		"encoded":       {ok + "X-Signed: s\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok", pipe.StageUnknown},
 		"two requests":  {ok + "X-Id: 2\r\nX-Signed: s\r\nContent-Length: 2\r\n\r\nok", pipe.StageUnknown},
+		"hop signature": {ok + "X-Signed: s\r\nConnection: x-signed\r\nContent-Length: 2\r\n\r\nok", pipe.StageUnknown},
 		"garbage":       {"\x00\x01garbage\r\n\r\n", pipe.StageUnknown},
 		"silence":       {"", pipe.StageUnknown},
 		"not run":       {"HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", pipe.StageRefused},
--- a/internal/pipe/send.go
+++ b/internal/pipe/send.go
@@ -198,11 +198,12 @@
 	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 	reusable := framed && !resp.Close && !c.hasUnread()
 	c.idleDeadline = idleTimeout(resp.Header.Get("Keep-Alive"))
-	if failure := p.checkResponse(resp); failure != nil {
+	header := EndToEndHeaders(resp.Header)
+	if failure := p.checkResponse(resp, header); failure != nil {
 		return nil, reusable, failure
 	}
 	return &Response{
-		Status: resp.StatusCode, Header: EndToEndHeaders(resp.Header), Body: body, Notice: p.notice(resp), buffer: c.limit.buffer,
+		Status: resp.StatusCode, Header: header, Body: body, Notice: p.notice(resp), buffer: c.limit.buffer,
 	}, reusable, nil
 }
 
@@ -243,14 +244,15 @@
 }
 
 // checkResponse returns a failure if the upstream reports that it did not run the request, or if a successful response has
-// no signature or a content encoding that was not requested, and thus cannot come from the upstream.
-func (p *Pool) checkResponse(resp *http.Response) *Failure {
+// a content encoding that was not requested or no signature in the header for the caller, and thus cannot come from the
+// upstream.
+func (p *Pool) checkResponse(resp *http.Response, header http.Header) *Failure {
 	switch {
 	case resp.Header.Get(p.cfg.Names.NotRun) != "", resp.StatusCode == http.StatusMisdirectedRequest:
 		return &Failure{
 			Stage: StageRefused, Status: resp.StatusCode, Reason: "upstream refused with " + resp.Status, Notice: p.notice(resp),
 		}
-	case resp.StatusCode < 300 && resp.Header.Get(p.cfg.Names.Signature) == "":
+	case resp.StatusCode < 300 && header.Get(p.cfg.Names.Signature) == "":
 		return unknownFailure("answer without a signature", nil)
 	case resp.StatusCode < 300 && resp.Header.Get("Content-Encoding") != "":
 		return unknownFailure("answer with an encoding that was not asked for", nil)
