--- a/internal/soak/raw.go
+++ b/internal/soak/raw.go
@@ -27,8 +27,8 @@
 // rawCase is a response that upstreams send to some requests.
 type rawCase struct {
 	name string
-	// response lacks the fields that differ between requests.
-	response func(fields string) stub.RawResponse
+	// response has rawFields in place of the fields that differ between requests.
+	response stub.RawResponse
 	// valid is true if callers must get the response, with the body.
 	valid bool
 	body  string
@@ -38,15 +38,14 @@
 	repeats int
 }
 
+// rawFields stands for the ID of the request and the signature of the upstream.
+const rawFields = "{fields}"
+
 func rawCases() []rawCase {
 	var cases []rawCase
 	add := func(c stub.ResponseCase, valid bool) {
-		cases = append(cases, rawCase{
-			name: c.Name, valid: valid, body: c.Body, repeats: 1,
-			response: func(fields string) stub.RawResponse {
-				return stub.RawResponse{Bytes: c.Bytes(fields), End: stub.RawClose}
-			},
-		})
+		response := stub.RawResponse{Bytes: c.Bytes(rawFields), End: stub.RawClose}
+		cases = append(cases, rawCase{name: c.Name, response: response, valid: valid, body: c.Body, repeats: 1})
 	}
 	for _, c := range stub.ValidResponses() {
 		add(c, true)
@@ -54,17 +53,15 @@
 	for _, c := range stub.InvalidResponses() {
 		add(c, false)
 	}
-	reset := func(name string, delay time.Duration) rawCase {
-		return rawCase{
-			name: name, uploaded: uploadBytes, repeats: earlyResets / 2,
-			response: func(fields string) stub.RawResponse {
-				return stub.RawResponse{
-					Bytes: "HTTP/1.1 200 OK\r\n" + fields + "\r\npart", Early: true, Delay: delay, End: stub.RawReset,
-				}
+	for _, delay := range []time.Duration{0, 20 * time.Millisecond} {
+		cases = append(cases, rawCase{
+			name: fmt.Sprintf("reset %v after an early response", delay), uploaded: uploadBytes, repeats: earlyResets / 2,
+			response: stub.RawResponse{
+				Bytes: "HTTP/1.1 200 OK\r\n" + rawFields + "\r\npart", Early: true, Delay: delay, End: stub.RawReset,
 			},
-		}
+		})
 	}
-	return append(cases, reset("reset during the upload", 0), reset("reset during the upload, later", 20*time.Millisecond))
+	return cases
 }
 
 // rawResponder answers requests with the case that their query names.
@@ -85,7 +82,8 @@
 	p.answered[n]++
 	p.mu.Unlock()
 	fields := "Attempt-Id: " + r.Header.Get("Attempt-Id") + "\r\nResponse-Signature: f\r\n"
-	response := p.cases[n].response(fields)
+	response := p.cases[n].response
+	response.Bytes = strings.ReplaceAll(response.Bytes, rawFields, fields)
 	if !response.Early {
 		_, _ = io.Copy(io.Discard, r.Body)
 	}
--- a/internal/strict/conn.go
+++ b/internal/strict/conn.go
@@ -14,8 +14,9 @@
 	"github.com/go-faster/errors"
 )
 
-// Conn is a client connection whose Read tells an orderly end from a failure of the connection. The kernel reports a failure
-// once, to a read or to a write; after that, reads report the end of the stream.
+// Conn is a client connection for one request at a time, with two checks of what is read. It tells an orderly end from a
+// failure of the connection, which the kernel reports once, to a read or to a write; after that, reads report the end of the
+// stream. And it returns bytes of valid responses only.
 type Conn struct {
 	net.Conn
 	// writing is held during each write.
