stub: a raw response is served by one function

Found in the read before the landing: every use of RawServer had a constant response, and none kept its connection. The comment of floodUpstreams says again what the upstreams do. No product code, no check and no bound changes.

--- a/internal/daemon/clients_test.go
+++ b/internal/daemon/clients_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"net"
-	"net/http"
 	"testing"
 
 	"baobabreach/internal/config"
@@ -20,9 +19,7 @@
 	l, err := stub.ListenWithSmallBuffers("127.0.0.1:0")
 	is.NoErr(err)
 	t.Cleanup(func() { _ = l.Close() })
-	go stub.RawServer{Respond: func(*http.Request) stub.RawResponse {
-		return stub.RawResponse{Bytes: "HTTP/1.1 200 OK\r\n\r\n{}", Early: true, End: stub.RawReset}
-	}}.Serve(l)
+	go stub.ServeRaw(l, stub.RawResponse{Bytes: "HTTP/1.1 200 OK\r\n\r\n{}", Early: true, End: stub.RawReset})
 	message := bytes.Repeat([]byte("x"), 1<<20)
 	for name, client := range daemon.PeerClients(config.Config{}) {
 		t.Run(name, func(t *testing.T) {
@@ -48,9 +45,8 @@
 				l, err := net.Listen("tcp", "127.0.0.1:0")
 				is.NoErr(err)
 				t.Cleanup(func() { _ = l.Close() })
-				go stub.RawServer{Respond: func(*http.Request) stub.RawResponse {
-					return stub.RawResponse{Bytes: c.Bytes("Content-Type: application/octet-stream\r\n"), End: stub.RawClose}
-				}}.Serve(l)
+				response := c.Bytes("Content-Type: application/octet-stream\r\n")
+				go stub.ServeRaw(l, stub.RawResponse{Bytes: response, End: stub.RawClose})
 				_, err = peer.Call[struct{}, anyBytes](t.Context(), client, "http://"+l.Addr().String()+"/", "", struct{}{})
 				is.True(err != nil)
 			})
--- a/internal/pipe/reset_test.go
+++ b/internal/pipe/reset_test.go
@@ -42,7 +42,7 @@
 				l, err := stub.ListenWithSmallBuffers("127.0.0.1:0")
 				is.NoErr(err)
 				t.Cleanup(func() { _ = l.Close() })
-				go stub.RawServer{Respond: func(*http.Request) stub.RawResponse { return c.response }}.Serve(l)
+				go stub.ServeRaw(l, c.response)
 				served := sendUploads(t, l, body)
 				if c.whole {
 					is.Equal(served, uploads)
--- a/internal/pipe/valid_test.go
+++ b/internal/pipe/valid_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"net/http"
 	"testing"
 
 	"baobabreach/internal/pipe"
@@ -47,8 +46,6 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	go stub.RawServer{Respond: func(*http.Request) stub.RawResponse {
-		return stub.RawResponse{Bytes: response, End: stub.RawClose}
-	}}.Serve(l)
+	go stub.ServeRaw(l, stub.RawResponse{Bytes: response, End: stub.RawClose})
 	return l.Addr().String()
 }
--- a/internal/soak/flood.go
+++ b/internal/soak/flood.go
@@ -19,8 +19,8 @@
 )
 
 const (
-	// floodUpstreams is the number of upstreams that do so, floodCallers the number of callers that send such requests, and
-	// floodTime how long.
+	// floodUpstreams is the number of upstreams that answer requests for rawTarget with bytes without end, floodCallers the
+	// number of callers that send such requests, and floodTime how long.
 	floodUpstreams = 12
 	floodCallers   = 48
 	floodTime      = 12 * time.Second
--- a/internal/stub/raw.go
+++ b/internal/stub/raw.go
@@ -21,21 +21,19 @@
 // unreadTime is the time between both ends of a connection that is closed without reading.
 const unreadTime = 20 * time.Millisecond
 
-// RawEnd is what a RawServer does with a connection after a response.
+// RawEnd is what becomes of a connection after a RawResponse.
 type RawEnd int
 
 const (
-	// RawKeep keeps the connection for further requests.
-	RawKeep RawEnd = iota
 	// RawClose closes the connection in order and reads what the client still sends.
-	RawClose
+	RawClose RawEnd = iota
 	// RawCloseUnread ends the responses in order, but not the request: what the client still sends resets the connection.
 	RawCloseUnread
 	// RawReset resets the connection.
 	RawReset
 )
 
-// RawResponse is what a RawServer writes for one request, whether or not it is a valid response.
+// RawResponse is what a server writes for a request, whether or not it is a valid response.
 type RawResponse struct {
 	Bytes string
 	// Early is true if the request body is not read before the response is written.
@@ -45,15 +43,13 @@
 	End   RawEnd
 }
 
-// Send writes the response and ends the connection, unless End is RawKeep.
+// Send writes the response and ends the connection.
 func (r RawResponse) Send(c net.Conn) error {
 	if _, err := io.WriteString(c, r.Bytes); err != nil {
 		return errors.Wrap(err, "write response")
 	}
 	time.Sleep(r.Delay)
 	switch r.End {
-	case RawKeep:
-		return nil
 	case RawReset:
 		if tcp, ok := c.(*net.TCPConn); ok {
 			// Without the time to send what is left, closing the connection resets it.
@@ -75,11 +71,6 @@
 	}
 }
 
-// RawServer answers each request with the bytes that Respond returns.
-type RawServer struct {
-	Respond func(r *http.Request) RawResponse
-}
-
 // ListenWithSmallBuffers listens on the address. A client that sends a large body to it is still writing when an early
 // response arrives.
 func ListenWithSmallBuffers(address string) (net.Listener, error) {
@@ -97,34 +88,28 @@
 	return l, errs.Wrap(err, "listen")
 }
 
-// Serve serves connections until the listener is closed.
-func (s RawServer) Serve(l net.Listener) {
+// ServeRaw answers the first request of each connection with the response, until the listener is closed.
+func ServeRaw(l net.Listener, response RawResponse) {
 	for {
 		c, err := l.Accept()
 		if err != nil {
 			return
 		}
-		go func() { _ = s.serveConn(c) }()
+		go func() { _ = response.serve(c) }()
 	}
 }
 
-// serveConn returns the error that ended the connection, or nil if a response did.
-func (s RawServer) serveConn(c net.Conn) error {
+// serve returns an error if the client ended the connection.
+func (r RawResponse) serve(c net.Conn) error {
 	defer func() { _ = c.Close() }()
-	br := bufio.NewReader(c)
-	for {
-		r, err := http.ReadRequest(br)
-		if err != nil {
-			return errors.Wrap(err, "read request")
-		}
-		resp := s.Respond(r)
-		if !resp.Early {
-			if _, err := io.Copy(io.Discard, r.Body); err != nil {
-				return errors.Wrap(err, "read body")
-			}
-		}
-		if err := resp.Send(c); err != nil || resp.End != RawKeep {
-			return err
+	request, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return errors.Wrap(err, "read request")
+	}
+	if !r.Early {
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return errors.Wrap(err, "read body")
 		}
 	}
+	return r.Send(c)
 }
--- a/internal/wire/reset_test.go
+++ b/internal/wire/reset_test.go
@@ -33,7 +33,7 @@
 			l, err := stub.ListenWithSmallBuffers("127.0.0.1:0")
 			is.NoErr(err)
 			t.Cleanup(func() { _ = l.Close() })
-			go stub.RawServer{Respond: func(*http.Request) stub.RawResponse { return c.response }}.Serve(l)
+			go stub.ServeRaw(l, c.response)
 			client := wire.New(wire.Config{Host: "h1", HTTP: &http.Client{Transport: &http.Transport{}}, MaxResponseBytes: 1 << 20})
 			u := model.Upstream{Name: "u1", Address: l.Addr().String()}
 			served := 0
--- a/internal/wire/valid_test.go
+++ b/internal/wire/valid_test.go
@@ -54,9 +54,7 @@
 	}
 	t.Cleanup(func() { _ = l.Close() })
 	response := c.Bytes("Baobab-Request-Id: 1\r\nBaobab-Outcome: done\r\n")
-	go stub.RawServer{Respond: func(*http.Request) stub.RawResponse {
-		return stub.RawResponse{Bytes: response, End: stub.RawClose}
-	}}.Serve(l)
+	go stub.ServeRaw(l, stub.RawResponse{Bytes: response, End: stub.RawClose})
 	client := wire.New(wire.Config{Host: "h1", HTTP: &http.Client{Transport: &http.Transport{}}, MaxResponseBytes: 1 << 20})
 	return client.Send(t.Context(), model.Upstream{Name: "u1", Address: l.Addr().String()}, wire.Request{
 		ID: "1", Method: http.MethodGet, Path: "/x", Header: http.Header{},
